--- a/crates/bulrushlatch_agent/src/process.rs
+++ b/crates/bulrushlatch_agent/src/process.rs
@@ -152,7 +152,7 @@
             self.act(|agent, effects| agent.tick(Instant::now(), effects));
             thread::sleep(TICK_INTERVAL);
         }
-        self.act(|agent, effects| agent.begin_shutdown(effects, Instant::now()));
+        self.act(|agent, effects| agent.begin_shutdown(Instant::now(), effects));
         let begun = Instant::now();
         let mut idle_since: Option<Instant> = None;
         while begun.elapsed() < self.settings.drain_timeout {
--- a/crates/bulrushlatch_core/src/clock.rs
+++ b/crates/bulrushlatch_core/src/clock.rs
@@ -14,6 +14,16 @@
     fn wall_ms(&self) -> u64;
 }
 
+impl<C: Clock> Clock for std::sync::Arc<C> {
+    fn now(&self) -> Instant {
+        C::now(self)
+    }
+
+    fn wall_ms(&self) -> u64 {
+        C::wall_ms(self)
+    }
+}
+
 /// The clock of the machine.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SystemClock;
--- a/crates/bulrushlatch_core/src/message.rs
+++ b/crates/bulrushlatch_core/src/message.rs
@@ -107,6 +107,8 @@
 pub struct Forward {
     /// The waiting caller at the sender.
     pub ticket: Ticket,
+    /// Epoch in which the sender takes the receiver for the owner.
+    pub epoch: Epoch,
     /// The submission; its `timeout_ms` is the time that is left.
     pub submission: Arc<Submission>,
 }
--- a/crates/bulrushlatch_core/src/process/agent.rs
+++ b/crates/bulrushlatch_core/src/process/agent.rs
@@ -158,8 +158,9 @@
     }
 
     /// Takes no new tasks from now on.
-    pub fn begin_shutdown(&mut self, effects: &mut Vec<Effect>, now: Instant) {
+    pub fn begin_shutdown(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         self.is_shutting_down = true;
+        self.give_back_waiting(now, effects);
         self.send_heartbeats(now, effects);
     }
 
@@ -356,6 +357,16 @@
         self.run_waiting(now, effects);
     }
 
+    /// Tasks that have not started go back to their owners, which place them elsewhere.
+    fn give_back_waiting(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        for waiting in std::mem::take(&mut self.waiting) {
+            let error = not_run(Reason::ShuttingDown, "the target is leaving");
+            if let Some(report) = self.end_waiting(&waiting.task.placement, error) {
+                self.report_end(now, report, effects);
+            }
+        }
+    }
+
     fn drop_waiting(&mut self, submission_id: &SubmissionId) {
         let is_dropped =
             |waiting: &WaitingTask| waiting.task.placement.submission_id == *submission_id;
@@ -374,6 +385,9 @@
             self.settings_offset = directive.settings_offset;
             self.is_drained = directive.drain;
         }
+        if self.is_leaving() {
+            self.give_back_waiting(now, effects);
+        }
         if directive.ownership_offset < self.ownership_offset {
             return;
         }
--- a/crates/bulrushlatch_core/src/process/shard/admission.rs
+++ b/crates/bulrushlatch_core/src/process/shard/admission.rs
@@ -22,7 +22,7 @@
 };
 
 /// Allowance for the clocks of callers that put the time into their ids.
-const CALLER_CLOCK_SKEW_MS: u64 = 30_000;
+const CALLER_CLOCK_SKEW_MS: u64 = 5_000;
 /// Shortest and longest advice on when to come back.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (100, 30_000);
 
@@ -45,7 +45,7 @@
     ) {
         let submission_id = submission.submission_id.clone();
         if self.jobs.contains_key(&submission_id) {
-            self.attach(waiter, &submission, effects);
+            self.attach(moment, waiter, &submission, effects);
             return;
         }
         let Some(owned) = self.owned.get_mut(&slice_of(&submission_id)) else { return };
@@ -57,11 +57,11 @@
         let owned_since_ms = owned.since_wall_ms;
         if let Some(known) = self.known.get(&submission_id) {
             if known.id.digest != submission.digest() {
-                self.reply(waiter, conflict(submission_id), effects);
+                self.reply(moment, waiter, conflict(submission_id), effects);
                 return;
             }
             if let Some(closing) = known.id.closing.clone() {
-                self.reply(waiter, *closing, effects);
+                self.reply(moment, waiter, *closing, effects);
                 return;
             }
             self.recover(moment, waiter, submission, deadline, false, effects);
@@ -70,7 +70,7 @@
         let made_ms = uuid_v7_time_ms(&submission_id);
         let window_ms = self.limits.id_window.as_millis() as u64;
         if made_ms.is_some_and(|made_ms| made_ms + window_ms < moment.wall_ms) {
-            self.reply(waiter, too_old(submission_id), effects);
+            self.reply(moment, waiter, too_old(submission_id), effects);
             return;
         }
         let is_made_since =
@@ -96,7 +96,7 @@
             let Refusal { reason, message, retry_after_ms } = refusal;
             let answer = Answer::refused(submission_id, reason, message, retry_after_ms);
             for waiter in waiters {
-                self.reply(waiter, answer.clone(), effects);
+                self.reply(moment, waiter, answer.clone(), effects);
             }
             return;
         }
@@ -155,17 +155,23 @@
         }
     }
 
-    fn attach(&mut self, waiter: Waiter, submission: &Submission, effects: &mut Vec<Effect>) {
+    fn attach(
+        &mut self,
+        moment: Moment,
+        waiter: Waiter,
+        submission: &Submission,
+        effects: &mut Vec<Effect>,
+    ) {
         let submission_id = &submission.submission_id;
         let Some(job) = self.jobs.get_mut(submission_id) else { return };
         if job.digest != submission.digest() {
-            self.reply(waiter, conflict(submission_id.clone()), effects);
+            self.reply(moment, waiter, conflict(submission_id.clone()), effects);
             return;
         }
         self.counters.attached += 1;
         if let JobPhase::Answered(answer) = &job.phase {
             let answer = Answer::clone(answer);
-            self.reply(waiter, answer, effects);
+            self.reply(moment, waiter, answer, effects);
             return;
         }
         job.waiters.insert(waiter);
--- a/crates/bulrushlatch_core/src/process/shard/answering.rs
+++ b/crates/bulrushlatch_core/src/process/shard/answering.rs
@@ -56,12 +56,13 @@
             self.end_badly(moment, submission_id, Reason::Cancelled, Vec::new(), effects);
             return;
         }
-        self.lookup_here(waiter, submission_id, effects);
+        self.lookup_here(moment, waiter, submission_id, effects);
     }
 
     /// Tells the state of a submission that this entry owns.
     pub(super) fn lookup_here(
         &mut self,
+        moment: Moment,
         waiter: Waiter,
         submission_id: &SubmissionId,
         effects: &mut Vec<Effect>,
@@ -73,7 +74,7 @@
             return;
         }
         let answer = self.state_of(submission_id);
-        self.reply(waiter, answer, effects);
+        self.reply(moment, waiter, answer, effects);
     }
 
     /// Ends the jobs whose deadline passed, and the requests that are still parked then.
@@ -99,7 +100,7 @@
                 "the ids of a lost entry were not collected in time",
                 Some(self.limits.recovery_wait.as_millis() as u64),
             );
-            self.reply(parked.waiter, answer, effects);
+            self.reply(moment, parked.waiter, answer, effects);
         }
     }
 
@@ -125,6 +126,7 @@
 
     /// Forgets answers and ids that have been kept for long enough.
     pub(super) fn forget_old(&mut self, moment: Moment) {
+        self.settled.forget_old(moment.now);
         while let Some((since, _)) = self.answered.front() {
             if moment.now.saturating_duration_since(*since) < self.limits.id_window {
                 break;
@@ -196,11 +198,11 @@
             let message = failures.first().map(|failure| failure.message.clone());
             let message = message.unwrap_or_else(|| "nothing of it was started".to_owned());
             let refused = Answer::refused(submission_id.clone(), reason, message, retry_after_ms);
-            self.release_refused(submission_id, &Answer { failures, ..refused }, effects);
+            self.release_refused(moment, submission_id, &Answer { failures, ..refused }, effects);
         } else if is_recovering {
             let message = "it was given up before agents had told of its tasks";
             let unknown = Answer::unknown(submission_id.clone(), reason, message, None);
-            self.release_unsettled(submission_id, &unknown, effects);
+            self.release_unsettled(moment, submission_id, &unknown, effects);
         } else {
             let failed = Answer::failed(submission_id.clone(), verdict, reason, failures);
             self.finish(moment, submission_id, &failed, effects);
@@ -230,13 +232,14 @@
             entry.id.closing = Some(Box::new(answer.clone()));
         }
         for waiter in waiters {
-            self.reply(waiter, answer.clone(), effects);
+            self.reply(moment, waiter, answer.clone(), effects);
         }
     }
 
     /// Nothing started and nothing will: the id may be submitted again as if it were new.
     fn release_refused(
         &mut self,
+        moment: Moment,
         submission_id: &SubmissionId,
         answer: &Answer,
         effects: &mut Vec<Effect>,
@@ -247,20 +250,21 @@
             owned.unpaired.remove(submission_id);
         }
         for waiter in job.waiters {
-            self.reply(waiter, answer.clone(), effects);
+            self.reply(moment, waiter, answer.clone(), effects);
         }
     }
 
     /// The trace of the id stays, so that a later attempt asks the agents again.
     fn release_unsettled(
         &mut self,
+        moment: Moment,
         submission_id: &SubmissionId,
         answer: &Answer,
         effects: &mut Vec<Effect>,
     ) {
         let Some(job) = self.take_job(submission_id) else { return };
         for waiter in job.waiters {
-            self.reply(waiter, answer.clone(), effects);
+            self.reply(moment, waiter, answer.clone(), effects);
         }
     }
 
--- a/crates/bulrushlatch_core/src/process/shard/dispatch.rs
+++ b/crates/bulrushlatch_core/src/process/shard/dispatch.rs
@@ -205,7 +205,8 @@
         effects: &mut Vec<Effect>,
     ) {
         let TaskReport { placement, state } = report;
-        let Some(job) = self.jobs.get_mut(&placement.submission_id) else { return };
+        let job = self.jobs.get_mut(&placement.submission_id);
+        let Some(job) = job.filter(|job| !job.is_answered()) else { return };
         let index = placement.index as usize;
         let Some(TaskState::Placed(placed)) = job.tasks.get_mut(index) else { return };
         let is_current = placed.agent == agent
--- a/crates/bulrushlatch_core/src/process/shard/forwarding.rs
+++ b/crates/bulrushlatch_core/src/process/shard/forwarding.rs
@@ -7,7 +7,7 @@
 
 use bulrushlatch_protocol::{
     answer::{Answer, Reason},
-    ids::SubmissionId,
+    ids::{Epoch, SubmissionId, slice_of},
     submission::Submission,
 };
 
@@ -75,14 +75,14 @@
         }
     }
 
-    fn message(&self, now: Instant, ticket: Ticket) -> Message {
+    fn message(&self, now: Instant, epoch: Epoch, ticket: Ticket) -> Message {
         let submission_id = self.submission_id.clone();
         match &self.kind {
             RequestKind::Submit(submission) => {
                 let time_left = self.deadline.saturating_duration_since(now);
                 let mut submission = Submission::clone(submission);
                 submission.timeout_ms = time_left.as_millis().max(1) as u64;
-                Message::Forward(Forward { ticket, submission: Arc::new(submission) })
+                Message::Forward(Forward { ticket, epoch, submission: Arc::new(submission) })
             }
             RequestKind::Cancel => Message::Cancel(Lookup { ticket, submission_id }),
             RequestKind::Lookup => Message::Lookup(Lookup { ticket, submission_id }),
@@ -112,7 +112,9 @@
             RequestKind::Cancel => {
                 self.cancel_here(moment, waiter, &request.submission_id, effects);
             }
-            RequestKind::Lookup => self.lookup_here(waiter, &request.submission_id, effects),
+            RequestKind::Lookup => {
+                self.lookup_here(moment, waiter, &request.submission_id, effects);
+            }
         }
     }
 
@@ -123,11 +125,16 @@
         forward: Forward,
         effects: &mut Vec<Effect>,
     ) {
-        let owner = self.owner_of(&forward.submission.submission_id);
-        if owner.is_none_or(|owner| owner.incarnation != self.me.incarnation) {
+        let owned = self.owned.get(&slice_of(&forward.submission.submission_id));
+        // One that was sent before this entry came to own the slice may be a late copy of a
+        // request that another owner has refused since.
+        if owned.is_none_or(|owned| forward.epoch < owned.since_epoch) {
             self.send_not_owner(from, forward.ticket, effects);
             return;
         }
+        if self.settled.contains(from, forward.ticket) {
+            return;
+        }
         let deadline = moment.now + Duration::from_millis(forward.submission.timeout_ms);
         let waiter = Waiter::Remote(from, forward.ticket);
         self.admit(moment, waiter, forward.submission, deadline, effects);
@@ -201,7 +208,7 @@
             if request.sent_to == Some(owner) {
                 request.resend_after *= 2;
             }
-            effects.push(Effect::send(owner, request.message(moment.now, ticket)));
+            effects.push(Effect::send(owner, request.message(moment.now, self.view.epoch, ticket)));
         }
         request.sent_to = owner;
         request.last_sent = moment.now;
--- a/crates/bulrushlatch_core/src/process/shard/mod.rs
+++ b/crates/bulrushlatch_core/src/process/shard/mod.rs
@@ -24,11 +24,15 @@
     answer::{Answer, AnswerState, Reason},
     ids::{Epoch, Incarnation, SliceId, SubmissionId, ZoneName, slice_of},
     submission::Submission,
+    verdict::Verdict,
 };
 
 use self::{forwarding::ForwardedRequest, ownership::OwnedSlice};
 use crate::{
-    connection::{agents::AgentTable, placement::Placement as PlacementRule, quota::QuotaTable},
+    connection::{
+        agents::AgentTable, placement::Placement as PlacementRule, quota::QuotaTable,
+        settled::SettledForwards,
+    },
     effect::{Destination, Effect},
     limits::Limits,
     message::{Attempt, Message, Ticket},
@@ -130,6 +134,7 @@
     /// Every job without a final answer, by its deadline.
     deadlines: BTreeSet<(Instant, SubmissionId)>,
     forwards: BTreeMap<Ticket, ForwardedRequest>,
+    settled: SettledForwards,
     queue: FairQueue,
     run_times: RunTimes,
     rule: P,
@@ -170,6 +175,7 @@
             jobs: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             forwards: BTreeMap::new(),
+            settled: SettledForwards::default(),
             queue: FairQueue::default(),
             run_times: RunTimes::default(),
             rule,
@@ -272,7 +278,7 @@
             }
             Message::Lookup(lookup) => {
                 let waiter = Waiter::Remote(from, lookup.ticket);
-                self.lookup_here(waiter, &lookup.submission_id, effects);
+                self.lookup_here(moment, waiter, &lookup.submission_id, effects);
             }
             Message::Answered(answered) => self.take_answer(answered, effects),
             Message::NotOwner(not_owner) => self.take_not_owner(moment, from, &not_owner, effects),
@@ -314,10 +320,13 @@
         Some(Destination { address, incarnation })
     }
 
-    fn reply(&mut self, waiter: Waiter, answer: Answer, effects: &mut Vec<Effect>) {
+    fn reply(&mut self, moment: Moment, waiter: Waiter, answer: Answer, effects: &mut Vec<Effect>) {
         match waiter {
             Waiter::Local(ticket) => self.answer_local(ticket, answer, effects),
             Waiter::Remote(to, ticket) => {
+                if answer.ran == Verdict::NotRun {
+                    self.settled.insert(moment.now, to, ticket);
+                }
                 let answered = crate::message::Answered { ticket, answer };
                 effects.push(Effect::send(to, Message::Answered(answered)));
             }
--- a/crates/bulrushlatch_core/src/process/shard/recovery.rs
+++ b/crates/bulrushlatch_core/src/process/shard/recovery.rs
@@ -157,7 +157,7 @@
         let is_unseen = job.tasks.iter().all(|task| matches!(task, TaskState::Queued(_)));
         let is_any_unseen = job.tasks.iter().any(|task| matches!(task, TaskState::Queued(_)));
         if lost_agent && is_any_unseen {
-            self.give_up_recovery(submission_id, effects);
+            self.give_up_recovery(moment, submission_id, effects);
         } else if may_be_new && is_unseen {
             self.restart_as_new(moment, submission_id, effects);
         } else {
@@ -167,7 +167,12 @@
 
     /// Some tasks may be at agents that cannot say. Nothing is placed; the id can be asked for
     /// again, since a lost agent may come back.
-    fn give_up_recovery(&mut self, submission_id: &SubmissionId, effects: &mut Vec<Effect>) {
+    fn give_up_recovery(
+        &mut self,
+        moment: Moment,
+        submission_id: &SubmissionId,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(job) = self.take_job(submission_id) else { return };
         let retry_after_ms = self.limits.agent_gone.as_millis() as u64;
         let answer = Answer::unknown(
@@ -177,7 +182,7 @@
             Some(retry_after_ms),
         );
         for waiter in job.waiters {
-            self.reply(waiter, answer.clone(), effects);
+            self.reply(moment, waiter, answer.clone(), effects);
         }
     }
 
--- /dev/null
+++ b/crates/bulrushlatch_core/tests/promises/main.rs
@@ -0,0 +1,194 @@
+//! The promises of bulrushlatch, under faults alone and in pairs, against a simple oracle.
+//!
+//! The decisions that the programs run are driven here with a virtual clock, a fake network, a
+//! fake log and fake targets. A longer run with fresh seeds:
+//!
+//!     PROMISES_SECONDS=600 cargo test --release -p bulrushlatch_core --test promises -- \
+//!         --ignored longer --nocapture
+
+mod case;
+mod fault;
+mod network;
+mod oracle;
+mod sabotage;
+mod world;
+
+use std::time::{Duration, Instant};
+
+use arbtest::arbtest;
+use strum::IntoEnumIterator;
+
+use self::{
+    case::{Case, run_case},
+    fault::Fault,
+    sabotage::Sabotage,
+};
+
+/// Entropy of one case in bytes; the low half of an arbtest seed.
+const CASE_BYTES: u64 = 64;
+/// Cases for each fault alone.
+const CASES_ALONE: u64 = 4;
+/// Cases with two faults.
+const CASES_IN_PAIRS: u64 = 120;
+/// Time for the longer run, if none is given.
+const DEFAULT_SECONDS: u64 = 60;
+
+#[test]
+fn promises_hold_without_faults() {
+    for number in 0..6 {
+        check(number, &[]);
+    }
+}
+
+#[test]
+fn promises_hold_under_each_fault_alone() {
+    for (index, fault) in (0..).zip(Fault::iter()) {
+        for number in 0..CASES_ALONE {
+            check(1000 + index * CASES_ALONE + number, &[fault]);
+        }
+    }
+}
+
+#[test]
+fn promises_hold_under_pairs_of_faults() {
+    let faults: Vec<Fault> = Fault::iter().collect();
+    for number in 0..CASES_IN_PAIRS {
+        let mut random = fastrand::Rng::with_seed(number);
+        let pair = [faults[random.usize(..faults.len())], faults[random.usize(..faults.len())]];
+        check(5000 + number, &pair);
+    }
+}
+
+#[test]
+#[ignore = "takes as long as PROMISES_SECONDS says"]
+fn longer() {
+    let seconds = std::env::var("PROMISES_SECONDS").ok().and_then(|text| text.parse().ok());
+    let time = Duration::from_secs(seconds.unwrap_or(DEFAULT_SECONDS));
+    let faults: Vec<Fault> = Fault::iter().collect();
+    let begun = Instant::now();
+    let mut cases = 0;
+    let mut failed = 0;
+    while begun.elapsed() < time {
+        let number = fastrand::u64(1 << 20..1 << 31);
+        let mut random = fastrand::Rng::with_seed(number);
+        let pair = [faults[random.usize(..faults.len())], faults[random.usize(..faults.len())]];
+        let violations = violations(number, &pair, None);
+        cases += 1;
+        if let Some(first) = violations.first() {
+            failed += 1;
+            println!("case {number} {pair:?}: {first} ({} in all)", violations.len());
+        }
+    }
+    println!("{cases} cases, {failed} failed");
+    assert_eq!(failed, 0);
+}
+
+/// One case by hand: `PROMISES_CASE=5017 cargo test ... -- --ignored replay --nocapture`.
+#[test]
+#[ignore = "replays the case that PROMISES_CASE names"]
+fn replay() {
+    let number: u64 = std::env::var("PROMISES_CASE").unwrap_or_default().parse().unwrap_or(0);
+    let faults: Vec<Fault> = Fault::iter().collect();
+    let mut random =
+        fastrand::Rng::with_seed(if number < 1 << 20 { number - 5000 } else { number });
+    let pair = [faults[random.usize(..faults.len())], faults[random.usize(..faults.len())]];
+    println!("{pair:?}");
+    for violation in violations(number, &pair, None) {
+        println!("{violation}");
+    }
+}
+
+fn check(number: u64, faults: &[Fault]) {
+    let violations = violations(number, faults, None);
+    assert!(violations.is_empty(), "case {number} {faults:?}: {violations:#?}");
+}
+
+fn violations(number: u64, faults: &[Fault], sabotage: Option<Sabotage>) -> Vec<String> {
+    let mut violations = Vec::new();
+    arbtest(|entropy| {
+        let case = Case::draw(entropy, faults, sabotage)?;
+        violations = run_case(&case);
+        Ok(())
+    })
+    .seed((number << 32) | CASE_BYTES);
+    violations
+}
+
+/// Without its mechanism each promise is broken by a named case, and the oracle sees it.
+mod without_mechanism {
+    use super::{Fault, Sabotage, violations};
+
+    /// Cases that are tried until one shows the fault.
+    const CASES: u64 = 40;
+
+    fn assert_seen(sabotage: Sabotage, faults: &[Fault], violation: &str) {
+        let is_seen = (9000..9000 + CASES).any(|number| {
+            let violations = violations(number, faults, Some(sabotage));
+            violations.iter().any(|text| text.contains(violation))
+        });
+        assert!(is_seen, "{sabotage:?} with {faults:?} never led to {violation:?}");
+    }
+
+    #[test]
+    fn witnesses_that_forget_let_tasks_start_twice() {
+        assert_seen(Sabotage::ForgetfulWitness, &[Fault::KillEntry], "started twice");
+    }
+
+    #[test]
+    fn collecting_nothing_lets_tasks_start_twice() {
+        assert_seen(Sabotage::CollectNothing, &[Fault::KillEntry], "started twice");
+    }
+
+    #[test]
+    fn agents_without_fences_let_tasks_start_twice() {
+        let faults = [Fault::FreezeEntry, Fault::Delay];
+        assert_seen(Sabotage::NoFence, &faults, "started twice");
+    }
+
+    #[test]
+    fn agents_that_keep_their_incarnation_let_tasks_start_twice() {
+        let faults = [Fault::KillAgent, Fault::Resubmit];
+        assert_seen(Sabotage::SameIncarnation, &faults, "started twice");
+    }
+
+    #[test]
+    fn probes_that_refuse_nothing_let_tasks_start_twice() {
+        assert_seen(Sabotage::ProbeRefusesNothing, &[Fault::Delay], "started twice");
+    }
+
+    #[test]
+    fn mixed_up_results_are_seen() {
+        assert_seen(Sabotage::SwapResults, &[], "not its own");
+    }
+
+    #[test]
+    fn wrong_verdicts_make_refusals_untrue() {
+        let faults = [Fault::TargetLosesReplies];
+        assert_seen(Sabotage::ClaimNotRun, &faults, "started twice");
+    }
+
+    #[test]
+    fn settings_that_are_not_read_let_a_drained_target_go_on() {
+        assert_seen(Sabotage::NoSettings, &[Fault::DrainSetting], "after it was drained");
+    }
+
+    #[test]
+    fn settings_that_are_not_read_are_not_in_force() {
+        assert_seen(Sabotage::NoSettings, &[], "has settings");
+    }
+
+    #[test]
+    fn an_agent_that_does_not_announce_that_it_leaves_goes_on_starting() {
+        assert_seen(Sabotage::LeaveUnannounced, &[Fault::LeaveAgent], "after it left");
+    }
+
+    #[test]
+    fn entries_that_do_not_drain_cut_callers_off() {
+        assert_seen(Sabotage::ExitAtOnce, &[Fault::LeaveEntry], "cut off");
+    }
+
+    #[test]
+    fn older_settings_under_a_newer_offset_are_seen() {
+        assert_seen(Sabotage::RevertSettings, &[], "settings");
+    }
+}
--- /dev/null
+++ b/crates/bulrushlatch_core/tests/promises/world.rs
@@ -0,0 +1,870 @@
+//! Entries, agents, targets and a log in virtual time.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use bulrushlatch_core::{
+    clock::{Clock, VirtualClock},
+    connection::placement::MostFree,
+    effect::Effect,
+    limits::Limits,
+    message::{AgentDescription, Envelope, Message, StartTask, TaskDone, TaskError, Ticket},
+    process::{agent::Agent, entry::Entry, membership::EntryIdentity},
+};
+use bulrushlatch_log::{
+    memory_log::{LogMode, MemoryLog},
+    platform_log::{PlatformLog, StreamName},
+};
+use bulrushlatch_protocol::{
+    answer::Reason,
+    change::Change,
+    ids::{Incarnation, Offset},
+    submission::{Submission, Task},
+    verdict::Verdict,
+};
+use serde_json::value::RawValue;
+
+use super::{
+    network::{Delivery, Network},
+    oracle::{Attempt, AttemptIndex, IN_FORCE_WITHIN, LEAVING_WITHIN, Oracle, result_text},
+    sabotage::{Passage, Sabotage},
+};
+
+/// Step of virtual time.
+const STEP: Duration = Duration::from_millis(2);
+/// Time between ticks of a process.
+const TICK: Duration = Duration::from_millis(20);
+/// Time between reads of the log.
+const LOG_READ: Duration = Duration::from_millis(100);
+/// Time between looks at settings.
+const SETTINGS_LOOK: Duration = Duration::from_millis(500);
+/// Time for which a drained process still answers others.
+const LINGER: Duration = Duration::from_millis(1500);
+/// Time that the log keeps records when they lapse.
+const RETENTION: Duration = Duration::from_secs(8);
+/// Time in which a new world gets ready.
+const FORMED: Duration = Duration::from_secs(2);
+/// Slots of each target.
+const SLOTS: u32 = 4;
+
+/// An entry as the programs run it, with a virtual clock.
+type VirtualEntry = Entry<Arc<VirtualClock>, MostFree>;
+
+/// What a target does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TargetMode {
+    #[default]
+    Normal,
+    FailsAll,
+    Straggles,
+    LosesReplies,
+    Refuses,
+}
+
+/// A place where entries live, one after the other.
+pub struct EntrySlot {
+    pub address: SocketAddr,
+    pub process: Option<VirtualEntry>,
+    life: u64,
+    frozen_since: Option<Duration>,
+    held: Vec<Envelope>,
+    held_calls: Vec<Call>,
+    pub leaving: bool,
+    drained_since: Option<Duration>,
+    /// Since when it could have followed the log.
+    followed_since: Duration,
+    settings_offset: Offset,
+}
+
+/// A place where agents live, one after the other.
+pub struct AgentSlot {
+    pub address: SocketAddr,
+    pub name: String,
+    pub process: Option<Agent>,
+    life: u64,
+    first_incarnation: Incarnation,
+    frozen_since: Option<Duration>,
+    held: Vec<Envelope>,
+    held_ends: Vec<TaskEnd>,
+    leaving_since: Option<Duration>,
+    idle_since: Option<Duration>,
+    pub target: TargetMode,
+    /// When its drain was accepted.
+    pub drained_at: Option<Duration>,
+}
+
+/// A call of a client.
+#[derive(Clone, Debug)]
+enum Call {
+    Submit(Ticket, Submission),
+    Cancel(Ticket, String),
+}
+
+/// The end of a task at a target.
+#[derive(Clone, Debug)]
+struct TaskEnd {
+    slot: usize,
+    life: u64,
+    task: StartTask,
+    outcome: Result<TaskDone, TaskError>,
+}
+
+/// Everything, in virtual time.
+pub struct World {
+    pub now: Duration,
+    pub random: fastrand::Rng,
+    pub network: Network,
+    pub oracle: Oracle,
+    pub entries: Vec<EntrySlot>,
+    pub agents: Vec<AgentSlot>,
+    clock: Arc<VirtualClock>,
+    log: MemoryLog,
+    log_up_since: Option<Duration>,
+    /// Length of the settings stream over time.
+    settings_lengths: Vec<(Duration, Offset)>,
+    appended: BTreeMap<StreamName, Vec<Duration>>,
+    pub slow_log: bool,
+    appends: BTreeMap<(Duration, u64), (StreamName, String)>,
+    ends: BTreeMap<(Duration, u64), TaskEnd>,
+    next_number: u64,
+    tickets: BTreeMap<(usize, u64, Ticket), AttemptIndex>,
+    sabotage: Option<Sabotage>,
+}
+
+impl World {
+    /// Returns a world whose processes have just been started.
+    pub fn new(
+        seed: u64,
+        entry_count: usize,
+        agent_count: usize,
+        sabotage: Option<Sabotage>,
+    ) -> Self {
+        let mut world = Self {
+            now: Duration::ZERO,
+            random: fastrand::Rng::with_seed(seed),
+            network: Network::default(),
+            oracle: Oracle::default(),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            clock: Arc::new(VirtualClock::new()),
+            log: MemoryLog::default(),
+            log_up_since: Some(Duration::ZERO),
+            settings_lengths: Vec::new(),
+            appended: BTreeMap::new(),
+            slow_log: false,
+            appends: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            next_number: 0,
+            tickets: BTreeMap::new(),
+            sabotage,
+        };
+        for index in 0..entry_count {
+            world.entries.push(EntrySlot::new(index));
+        }
+        for index in 0..agent_count {
+            world.agents.push(AgentSlot::new(index));
+        }
+        for index in 0..entry_count {
+            world.start_entry(index);
+        }
+        for index in 0..agent_count {
+            world.start_agent(index);
+        }
+        world
+    }
+
+    /// Moves time on.
+    pub fn step(&mut self) {
+        self.now += STEP;
+        self.clock.set_elapsed(self.now);
+        self.apply_appends();
+        while let Some(delivery) = self.network.next_arrived(self.now) {
+            self.deliver(delivery);
+        }
+        self.end_tasks();
+        if self.is_due(TICK) {
+            self.tick_all();
+        }
+        if self.is_due(LOG_READ) {
+            self.read_log();
+        }
+        if self.is_due(SETTINGS_LOOK) {
+            self.look_at_settings();
+        }
+    }
+
+    /// Starts a new entry in a slot whose entry ended.
+    pub fn start_entry(&mut self, index: usize) {
+        if self.entries[index].process.is_some() {
+            return;
+        }
+        let limits = Limits {
+            snapshot_age: Duration::from_secs(3),
+            snapshot_records: 20,
+            agent_gone: Duration::from_secs(6),
+            ..Limits::default()
+        };
+        let incarnation = self.random.u64(1..);
+        let rule = MostFree::new(self.random.u64(..));
+        let seeds = self.entries.iter().map(|slot| slot.address).collect();
+        let slot = &mut self.entries[index];
+        let identity = EntryIdentity {
+            incarnation,
+            name: format!("entry-{index}").into(),
+            address: slot.address,
+            zone: format!("zone-{index}").into(),
+        };
+        let clock = Arc::clone(&self.clock);
+        slot.process = Some(Entry::new(clock, identity, Arc::new(limits), seeds, vec![rule]));
+        slot.life += 1;
+        slot.frozen_since = None;
+        slot.leaving = false;
+        slot.drained_since = None;
+        slot.followed_since = self.now;
+        slot.settings_offset = 0;
+    }
+
+    /// Starts a new agent in a slot whose agent ended.
+    pub fn start_agent(&mut self, index: usize) {
+        if self.agents[index].process.is_some() {
+            return;
+        }
+        let mut incarnation = self.random.u64(1..);
+        let entries = self.entries.iter().map(|slot| slot.address).collect();
+        let slot = &mut self.agents[index];
+        if self.sabotage == Some(Sabotage::SameIncarnation) && slot.life > 0 {
+            incarnation = slot.first_incarnation;
+        }
+        slot.first_incarnation = incarnation;
+        let description = AgentDescription {
+            name: slot.name.as_str().into(),
+            address: slot.address,
+            zone: format!("zone-{index}").into(),
+            service: "listing".into(),
+            slots: SLOTS,
+        };
+        let limits = Arc::new(Limits::default());
+        let now = self.clock.now();
+        slot.process = Some(Agent::new(incarnation, description, limits, entries, now));
+        slot.life += 1;
+        slot.frozen_since = None;
+        slot.leaving_since = None;
+        slot.idle_since = None;
+    }
+
+    /// Ends an entry at once.
+    pub fn kill_entry(&mut self, index: usize) {
+        self.end_entry(index);
+    }
+
+    /// Ends an agent at once.
+    pub fn kill_agent(&mut self, index: usize) {
+        self.agents[index].process = None;
+        self.agents[index].held.clear();
+        self.agents[index].held_ends.clear();
+    }
+
+    /// Stops an entry from doing anything.
+    pub fn freeze_entry(&mut self, index: usize) {
+        let now = self.now;
+        self.entries[index].frozen_since.get_or_insert(now);
+    }
+
+    /// Stops an agent from doing anything.
+    pub fn freeze_agent(&mut self, index: usize) {
+        let now = self.now;
+        self.agents[index].frozen_since.get_or_insert(now);
+    }
+
+    /// Lets a frozen entry go on.
+    pub fn thaw_entry(&mut self, index: usize) {
+        let Some(since) = self.entries[index].frozen_since.take() else { return };
+        let frozen = self.now - since;
+        let life = self.entries[index].life;
+        for (&(slot, ticket_life, _), &attempt) in &self.tickets {
+            if slot == index && ticket_life == life {
+                self.oracle.attempts[attempt].frozen += frozen;
+            }
+        }
+        self.entries[index].followed_since = self.now;
+        for call in std::mem::take(&mut self.entries[index].held_calls) {
+            self.call_entry(index, call);
+        }
+        for envelope in std::mem::take(&mut self.entries[index].held) {
+            let to = self.entries[index].address;
+            self.deliver(Delivery { to, envelope });
+        }
+    }
+
+    /// Lets a frozen agent go on.
+    pub fn thaw_agent(&mut self, index: usize) {
+        self.agents[index].frozen_since = None;
+        for end in std::mem::take(&mut self.agents[index].held_ends) {
+            self.end_task(end);
+        }
+        for envelope in std::mem::take(&mut self.agents[index].held) {
+            let to = self.agents[index].address;
+            self.deliver(Delivery { to, envelope });
+        }
+    }
+
+    /// Asks an entry to shut down in order.
+    pub fn leave_entry(&mut self, index: usize) {
+        if let Some(entry) = &self.entries[index].process {
+            entry.begin_shutdown();
+            self.entries[index].leaving = true;
+        }
+    }
+
+    /// Asks an agent to shut down in order.
+    pub fn leave_agent(&mut self, index: usize) {
+        let now = self.clock.now();
+        let mut effects = Vec::new();
+        let Some(agent) = &mut self.agents[index].process else { return };
+        if self.sabotage != Some(Sabotage::LeaveUnannounced) {
+            agent.begin_shutdown(now, &mut effects);
+        }
+        self.agents[index].leaving_since.get_or_insert(self.now);
+        self.execute_for_agent(index, effects);
+    }
+
+    /// Sets how the log treats calls.
+    pub fn set_log_mode(&mut self, mode: LogMode) {
+        self.log.set_mode(mode);
+        let is_up = mode == LogMode::Up;
+        self.log_up_since = is_up.then_some(self.now);
+    }
+
+    /// Lets the log forget what is older than its retention.
+    pub fn lapse_log(&mut self) {
+        let oldest = self.now.saturating_sub(RETENTION);
+        for stream in [StreamName::Ownership, StreamName::Settings] {
+            let times = self.appended.entry(stream).or_default();
+            let kept = times.iter().filter(|at| **at >= oldest).count();
+            self.log.lapse(stream, kept);
+        }
+    }
+
+    /// Publishes a change, as an entry does for an operator.
+    pub fn publish(&mut self, change: &Change) {
+        let body = format!("{{\"record\":{}}}", serde_json::to_string(change).expect("JSON"));
+        self.append_later(StreamName::Settings, body);
+    }
+
+    /// Submits at an entry; nothing happens if no process is there.
+    pub fn submit(&mut self, index: usize, submission_id: &str, run_ms: &[u64], timeout: Duration) {
+        if self.entries[index].process.is_none() || self.entries[index].leaving {
+            return;
+        }
+        let tasks = run_ms.iter().map(|run_ms| Task {
+            kind: "photo".into(),
+            payload: RawValue::from_string(run_ms.to_string()).expect("a number").into(),
+            slots: 1,
+            expected_ms: None,
+        });
+        let submission = Submission {
+            submission_id: submission_id.into(),
+            team: "marea".into(),
+            service: "listing".into(),
+            timeout_ms: timeout.as_millis() as u64,
+            repeatable: false,
+            tasks: tasks.collect(),
+        };
+        let ticket = self.open_attempt(index, submission_id, run_ms.len() as u32, timeout);
+        self.call_entry(index, Call::Submit(ticket, submission));
+    }
+
+    /// Cancels a submission at an entry.
+    pub fn cancel(&mut self, index: usize, submission_id: &str) {
+        if self.entries[index].process.is_none() {
+            return;
+        }
+        let ticket = self.number();
+        self.call_entry(index, Call::Cancel(ticket, submission_id.to_owned()));
+    }
+
+    /// Returns the version of a setting as an entry sees it.
+    pub fn version_at(
+        &self,
+        index: usize,
+        path: &str,
+        key: bulrushlatch_protocol::change::SettingKey,
+    ) -> u64 {
+        let entry = self.entries[index].process.as_ref();
+        entry.map_or(0, |entry| entry.settings().version(path, key))
+    }
+
+    /// Checks that every process has ended what it had to.
+    pub fn check_end(&mut self, served_floor_percent: usize) {
+        for slot in &self.entries {
+            if slot.leaving && slot.process.is_some() {
+                self.oracle.violations.push("a leaving entry never drained".to_owned());
+            }
+        }
+        self.oracle.check_end(self.now, served_floor_percent);
+    }
+
+    /// Returns the wall time of all processes.
+    pub fn wall_ms(&self) -> u64 {
+        self.clock.wall_ms()
+    }
+
+    /// Offers an entry old settings under a new offset.
+    pub fn offer_old_settings(&mut self, index: usize) {
+        use bulrushlatch_core::{
+            message::StateUpdate,
+            version::{settings::SettingsTree, stream::Fold},
+        };
+        let mut tree = SettingsTree::default();
+        let length = self.appended.get(&StreamName::Settings).map_or(0, Vec::len) as Offset;
+        tree.set_next_offset(length + 1);
+        let update = StateUpdate { view: None, settings: Some(Arc::new(tree)) };
+        let to = self.entries[index].address;
+        let envelope = Envelope {
+            from: 1,
+            from_address: to,
+            to: 0,
+            messages: vec![Message::StateUpdate(update)],
+        };
+        self.deliver(Delivery { to, envelope });
+    }
+
+    fn is_due(&self, interval: Duration) -> bool {
+        (self.now.as_nanos() / STEP.as_nanos())
+            .is_multiple_of(interval.as_nanos() / STEP.as_nanos())
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    fn open_attempt(
+        &mut self,
+        index: usize,
+        submission_id: &str,
+        tasks: u32,
+        timeout: Duration,
+    ) -> Ticket {
+        let ticket = self.number();
+        let key = (index, self.entries[index].life, ticket);
+        self.tickets.insert(key, self.oracle.attempts.len());
+        self.oracle.attempts.push(Attempt {
+            submission_id: submission_id.to_owned(),
+            tasks,
+            at: self.now,
+            deadline: self.now + timeout,
+            answer: None,
+            is_lost: false,
+            frozen: Duration::ZERO,
+        });
+        ticket
+    }
+
+    fn call_entry(&mut self, index: usize, call: Call) {
+        let slot = &mut self.entries[index];
+        if slot.frozen_since.is_some() {
+            slot.held_calls.push(call);
+            return;
+        }
+        let mut effects = Vec::new();
+        let Some(entry) = &slot.process else { return };
+        match call {
+            Call::Submit(ticket, submission) => entry.submit(ticket, submission, &mut effects),
+            Call::Cancel(ticket, id) => entry.cancel(ticket, id.as_str().into(), &mut effects),
+        }
+        self.execute_for_entry(index, effects);
+    }
+
+    fn end_entry(&mut self, index: usize) {
+        let slot = &mut self.entries[index];
+        slot.process = None;
+        slot.held.clear();
+        slot.held_calls.clear();
+        let life = slot.life;
+        for (&(slot, ticket_life, _), &attempt) in &self.tickets {
+            let attempt = &mut self.oracle.attempts[attempt];
+            if slot == index && ticket_life == life && attempt.answer.is_none() {
+                attempt.is_lost = true;
+            }
+        }
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        let Delivery { to, mut envelope } = delivery;
+        if let Some(sabotage) = self.sabotage {
+            envelope = self.tamper(sabotage, to, envelope);
+        }
+        if let Some(index) = self.entries.iter().position(|slot| slot.address == to) {
+            let slot = &mut self.entries[index];
+            let Some(entry) = &slot.process else { return };
+            if slot.frozen_since.is_some() {
+                slot.held.push(envelope);
+                return;
+            }
+            let mut effects = Vec::new();
+            entry.receive(envelope, &mut effects);
+            self.execute_for_entry(index, effects);
+        } else if let Some(index) = self.agents.iter().position(|slot| slot.address == to) {
+            let now = self.clock.now();
+            let slot = &mut self.agents[index];
+            let Some(agent) = &mut slot.process else { return };
+            if slot.frozen_since.is_some() {
+                slot.held.push(envelope);
+                return;
+            }
+            let mut effects = Vec::new();
+            agent.receive(now, envelope, &mut effects);
+            self.execute_for_agent(index, effects);
+        }
+    }
+
+    fn tamper(&mut self, sabotage: Sabotage, to: SocketAddr, mut envelope: Envelope) -> Envelope {
+        let mut kept = Vec::new();
+        for message in std::mem::take(&mut envelope.messages) {
+            match sabotage.pass(message) {
+                Passage::Deliver(message) => kept.push(message),
+                Passage::AnswerInstead(answer) => {
+                    let answer = Envelope {
+                        from: envelope.to,
+                        from_address: to,
+                        to: envelope.from,
+                        messages: vec![answer],
+                    };
+                    let delivery = Delivery { to: envelope.from_address, envelope: answer };
+                    self.network.send(self.now, &mut self.random, &delivery);
+                }
+            }
+        }
+        envelope.messages = kept;
+        envelope
+    }
+
+    fn execute_for_entry(&mut self, index: usize, effects: Vec<Effect>) {
+        let slot = &self.entries[index];
+        let Some(entry) = &slot.process else { return };
+        let (from, from_address, life) = (entry.incarnation(), slot.address, slot.life);
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => {
+                    self.send(from, from_address, to.address, to.incarnation, *message);
+                }
+                Effect::Answer { ticket, answer } => {
+                    if let Some(&attempt) = self.tickets.get(&(index, life, ticket)) {
+                        self.oracle.note_answer(attempt, self.now, &answer);
+                    }
+                }
+                Effect::Append { stream, body } => self.append_later(stream, body),
+                Effect::Run(_) => {}
+            }
+        }
+    }
+
+    fn execute_for_agent(&mut self, index: usize, effects: Vec<Effect>) {
+        let slot = &self.agents[index];
+        let Some(agent) = &slot.process else { return };
+        let (from, from_address) = (agent.incarnation(), slot.address);
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => {
+                    self.send(from, from_address, to.address, to.incarnation, *message);
+                }
+                Effect::Run(task) => self.run_task(index, *task),
+                _ => {}
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        from: Incarnation,
+        from_address: SocketAddr,
+        to_address: SocketAddr,
+        to: Incarnation,
+        message: Message,
+    ) {
+        let envelope = Envelope { from, from_address, to, messages: vec![message] };
+        let delivery = Delivery { to: to_address, envelope };
+        self.network.send(self.now, &mut self.random, &delivery);
+    }
+
+    fn run_task(&mut self, index: usize, task: StartTask) {
+        let placement = &task.placement;
+        let id = placement.submission_id.to_string();
+        let slot = &self.agents[index];
+        let mode = slot.target;
+        let not_run = Err(error(Verdict::NotRun, Reason::TargetUnreachable));
+        if mode == TargetMode::Refuses {
+            self.end_later(index, task, Duration::from_millis(1), not_run);
+            return;
+        }
+        for (since, bound, what) in [
+            (slot.leaving_since, LEAVING_WITHIN, "after it left"),
+            (slot.drained_at, IN_FORCE_WITHIN, "after it was drained"),
+        ] {
+            if since.is_some_and(|since| self.now > since + bound) {
+                let text = format!("{} started {id} {what}", slot.name);
+                self.oracle.violations.push(text);
+            }
+        }
+        self.oracle.note_start(&(id.clone(), placement.index), self.now);
+        let run_ms: u64 = task.payload.get().parse().unwrap_or(50);
+        let run = Duration::from_millis(run_ms);
+        let result = RawValue::from_string(result_text(&id, placement.index)).expect("JSON");
+        let done = Ok(TaskDone { result: result.into(), run_ms });
+        let lost = Err(error(Verdict::MayHaveRun, Reason::TargetLost));
+        let (time, outcome) = match mode {
+            TargetMode::FailsAll => {
+                (Duration::from_millis(5), Err(error(Verdict::Ran, Reason::TaskFailed)))
+            }
+            TargetMode::Straggles => (run * 10, done),
+            TargetMode::LosesReplies => (run, lost.clone()),
+            _ => (run, done),
+        };
+        let timeout = Duration::from_millis(task.timeout_ms);
+        let outcome = if time > timeout { lost } else { outcome };
+        self.end_later(index, task, time.min(timeout), outcome);
+    }
+
+    fn end_later(
+        &mut self,
+        slot: usize,
+        task: StartTask,
+        time: Duration,
+        outcome: Result<TaskDone, TaskError>,
+    ) {
+        let key = (self.now + time, self.number());
+        let life = self.agents[slot].life;
+        self.ends.insert(key, TaskEnd { slot, life, task, outcome });
+    }
+
+    fn end_tasks(&mut self) {
+        while let Some((&key, _)) = self.ends.first_key_value() {
+            if key.0 > self.now {
+                return;
+            }
+            if let Some(end) = self.ends.remove(&key) {
+                self.end_task(end);
+            }
+        }
+    }
+
+    fn end_task(&mut self, end: TaskEnd) {
+        let now = self.clock.now();
+        let slot = &mut self.agents[end.slot];
+        if slot.life != end.life {
+            return;
+        }
+        if slot.frozen_since.is_some() {
+            slot.held_ends.push(end);
+            return;
+        }
+        let Some(agent) = &mut slot.process else { return };
+        let mut effects = Vec::new();
+        let placement = &end.task.placement;
+        let (id, index) = (&placement.submission_id, placement.index);
+        agent.finish(now, id, index, end.outcome, &mut effects);
+        self.execute_for_agent(end.slot, effects);
+    }
+
+    fn tick_all(&mut self) {
+        for index in 0..self.entries.len() {
+            let slot = &self.entries[index];
+            let Some(entry) = &slot.process else { continue };
+            if slot.frozen_since.is_some() {
+                continue;
+            }
+            let mut effects = Vec::new();
+            entry.tick(&mut effects);
+            self.execute_for_entry(index, effects);
+            self.exit_if_drained(index);
+        }
+        let now = self.clock.now();
+        for index in 0..self.agents.len() {
+            let slot = &mut self.agents[index];
+            let Some(agent) = &mut slot.process else { continue };
+            if slot.frozen_since.is_some() {
+                continue;
+            }
+            let mut effects = Vec::new();
+            agent.tick(now, &mut effects);
+            let is_idle = slot.leaving_since.is_some() && agent.is_idle();
+            slot.idle_since = is_idle.then(|| slot.idle_since.unwrap_or(self.now));
+            let is_over = slot.idle_since.is_some_and(|since| self.now >= since + LINGER);
+            self.execute_for_agent(index, effects);
+            if is_over {
+                self.kill_agent(index);
+            }
+        }
+    }
+
+    fn exit_if_drained(&mut self, index: usize) {
+        let slot = &mut self.entries[index];
+        let Some(entry) = slot.process.as_ref().filter(|_| slot.leaving) else { return };
+        let is_drained = entry.is_drained();
+        slot.drained_since = is_drained.then(|| slot.drained_since.unwrap_or(self.now));
+        let is_over = slot.drained_since.is_some_and(|since| self.now >= since + LINGER);
+        if !is_over && self.sabotage != Some(Sabotage::ExitAtOnce) {
+            return;
+        }
+        let life = slot.life;
+        self.end_entry(index);
+        for (&(slot, ticket_life, _), &attempt) in &self.tickets {
+            if slot == index && ticket_life == life && self.oracle.attempts[attempt].is_lost {
+                let text = format!("a leaving entry cut off attempt {attempt}");
+                self.oracle.violations.push(text);
+            }
+        }
+    }
+
+    fn append_later(&mut self, stream: StreamName, body: String) {
+        let delay_ms =
+            if self.slow_log { self.random.u64(1000..3000) } else { self.random.u64(3..9) };
+        let key = (self.now + Duration::from_millis(delay_ms), self.number());
+        self.appends.insert(key, (stream, body));
+    }
+
+    fn apply_appends(&mut self) {
+        while let Some((&key, _)) = self.appends.first_key_value() {
+            if key.0 > self.now {
+                return;
+            }
+            let Some((stream, body)) = self.appends.remove(&key) else { return };
+            if self.log.append(stream, &body).is_err() {
+                continue;
+            }
+            self.appended.entry(stream).or_default().push(self.now);
+            if stream == StreamName::Settings {
+                self.note_settings_record(&body);
+            }
+        }
+    }
+
+    fn note_settings_record(&mut self, body: &str) {
+        let length = self.appended[&StreamName::Settings].len() as Offset;
+        self.settings_lengths.push((self.now, length));
+        let record: serde_json::Value = serde_json::from_str(body).expect("records are JSON");
+        let Ok(change) = serde_json::from_value::<Change>(record["record"].clone()) else { return };
+        self.oracle.note_change(&change);
+        for slot in &mut self.agents {
+            let is_drain = change.path == format!("targets/{}", slot.name);
+            if is_drain && change.value == Some(serde_json::Value::Bool(true)) {
+                slot.drained_at.get_or_insert(self.now);
+            }
+        }
+    }
+
+    fn read_log(&mut self) {
+        let reads_settings = self.sabotage != Some(Sabotage::NoSettings) || self.now < FORMED;
+        for index in 0..self.entries.len() {
+            for stream in [StreamName::Ownership, StreamName::Settings] {
+                if stream == StreamName::Settings && !reads_settings {
+                    continue;
+                }
+                let slot = &self.entries[index];
+                let Some(entry) = slot.process.as_ref() else { continue };
+                if slot.frozen_since.is_some() {
+                    continue;
+                }
+                let Ok(page) = self.log.read(stream, entry.next_offset(stream), 100) else {
+                    continue;
+                };
+                let mut effects = Vec::new();
+                entry.fold(stream, &page, &mut effects);
+                self.execute_for_entry(index, effects);
+            }
+        }
+    }
+
+    /// Accepted settings are in force within the bound, are the same everywhere and never revert.
+    fn look_at_settings(&mut self) {
+        let all = self.appended.get(&StreamName::Settings).map_or(0, Vec::len) as Offset;
+        let bound = self.now.saturating_sub(IN_FORCE_WITHIN);
+        let due = self.settings_lengths.iter().rev().find(|(at, _)| *at <= bound);
+        let due = due.map_or(0, |(_, length)| *length);
+        let was_readable = self.log_up_since.is_some_and(|since| since <= bound);
+        let mut violations = Vec::new();
+        for (index, slot) in self.entries.iter_mut().enumerate() {
+            let Some(entry) = slot.process.as_ref() else { continue };
+            let offset = entry.next_offset(StreamName::Settings);
+            if offset < slot.settings_offset {
+                violations.push(format!("entry {index} went back to older settings"));
+            }
+            slot.settings_offset = offset;
+            let could_follow = slot.frozen_since.is_none() && slot.followed_since <= bound;
+            if was_readable && could_follow && offset < due {
+                violations.push(format!("entry {index} has settings {offset} of {due}"));
+            }
+            if offset >= all && !self.oracle.settings().is_same(&entry.settings()) {
+                violations.push(format!("entry {index} has other settings than published"));
+            }
+        }
+        self.oracle.violations.extend(violations);
+    }
+}
+
+impl super::oracle::PlainSettings {
+    fn is_same(&self, tree: &bulrushlatch_core::version::settings::SettingsTree) -> bool {
+        let shown = tree.settings_below("").map(|(path, key, setting)| {
+            ((path.to_owned(), key), (setting.value.clone(), setting.version))
+        });
+        let shown: BTreeMap<_, _> = shown.collect();
+        let plain = self.values.iter().filter(|(_, (value, _))| value.is_some());
+        let plain: BTreeMap<_, _> =
+            plain.map(|(key, value)| (key.clone(), value.clone())).collect();
+        shown == plain
+    }
+}
+
+impl EntrySlot {
+    fn new(index: usize) -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 1000 + index as u16)),
+            process: None,
+            life: 0,
+            frozen_since: None,
+            held: Vec::new(),
+            held_calls: Vec::new(),
+            leaving: false,
+            drained_since: None,
+            followed_since: Duration::ZERO,
+            settings_offset: 0,
+        }
+    }
+}
+
+impl AgentSlot {
+    fn new(index: usize) -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 2000 + index as u16)),
+            name: format!("agent-{index}"),
+            process: None,
+            life: 0,
+            first_incarnation: 0,
+            frozen_since: None,
+            held: Vec::new(),
+            held_ends: Vec::new(),
+            leaving_since: None,
+            idle_since: None,
+            target: TargetMode::Normal,
+            drained_at: None,
+        }
+    }
+}
+
+fn error(ran: Verdict, reason: Reason) -> TaskError {
+    TaskError { ran, reason, message: "a fault of the harness".to_owned() }
+}
+
+/// Every ordered pair of different addresses.
+pub fn pairs_with(
+    address: SocketAddr,
+    others: &[SocketAddr],
+) -> BTreeSet<(SocketAddr, SocketAddr)> {
+    let others = others.iter().copied().filter(|other| *other != address);
+    others.flat_map(|other| [(address, other), (other, address)]).collect()
+}
