Lend quota slots between entries; try other agents after a refusal

Cause: each entry had a fixed share of a team's quota, so that with fewer slots than entries some entries could place nothing for the team until the deadline. Entries now lend what they do not use.

Cause: a task that an agent refused could go to the same agent again, since a refusing target looks the freest. Agents that refused a task of the job are now tried last.

--- a/crates/bulrushlatch_core/src/message.rs
+++ b/crates/bulrushlatch_core/src/message.rs
@@ -16,7 +16,12 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{request::known::KnownId, version::settings::SettingsTree, version::view::View};
+use crate::{
+    connection::quota::{QuotaAsk, QuotaLoan},
+    request::known::KnownId,
+    version::settings::SettingsTree,
+    version::view::View,
+};
 
 /// Identifies a waiting caller within one entry.
 pub type Ticket = u64;
@@ -64,6 +69,10 @@
     Collected(Collected),
     /// Owner to entry: every id of these slices has two holders in this epoch.
     Sealed(Sealed),
+    /// Entry to entry: lend slots of a quota.
+    QuotaAsk(QuotaAsk),
+    /// Entry to entry: slots of a quota are lent.
+    QuotaLoan(QuotaLoan),
     /// Owner to agent: start these tasks.
     Start(Start),
     /// Owner to agent: tell the state of placed tasks, and never start those not seen yet.
--- a/crates/bulrushlatch_core/src/process/entry.rs
+++ b/crates/bulrushlatch_core/src/process/entry.rs
@@ -12,7 +12,7 @@
 use bulrushlatch_log::platform_log::{LogPage, StreamName};
 use bulrushlatch_protocol::{
     answer::{Answer, Reason},
-    ids::{Incarnation, Offset, SLICE_COUNT, SliceId, SubmissionId, slice_of},
+    ids::{Incarnation, Offset, SLICE_COUNT, SliceId, SubmissionId, TeamId, slice_of},
     submission::Submission,
 };
 
@@ -22,11 +22,14 @@
 };
 use crate::{
     clock::Clock,
-    connection::placement::Placement as PlacementRule,
+    connection::{
+        placement::Placement as PlacementRule,
+        quota::{QuotaMessage, QuotaShare},
+    },
     effect::{Destination, Effect},
     limits::Limits,
     message::{Collect, Collected, Envelope, Message, Note, Sealed, StateUpdate, Ticket},
-    version::{settings::SettingsTree, view::View},
+    version::{policy::team_quota, settings::SettingsTree, view::View},
 };
 
 /// One entry. All methods may be called from any thread.
@@ -150,6 +153,10 @@
         for shard in &self.shards {
             lock(shard).tick(moment, effects);
         }
+        let settings = self.settings();
+        let quota_of = |team: &TeamId| team_quota(&settings, team);
+        let messages = self.tables.quotas().tick(moment.now, quota_of);
+        self.send_quota_messages(messages, effects);
     }
 
     /// Gives the slices to the other entries and takes no more submissions.
@@ -213,6 +220,27 @@
         status
     }
 
+    fn send_quota_messages(
+        &self,
+        messages: impl IntoIterator<Item = QuotaMessage>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let mut messages = messages.into_iter().peekable();
+        if messages.peek().is_none() {
+            return;
+        }
+        let view = self.view();
+        for message in messages {
+            let (incarnation, message) = match message {
+                QuotaMessage::Ask(to, ask) => (to, Message::QuotaAsk(ask)),
+                QuotaMessage::Loan(to, loan) => (to, Message::QuotaLoan(loan)),
+            };
+            let Some(member) = view.members.get(&incarnation) else { continue };
+            let to = Destination { address: member.address, incarnation };
+            effects.push(Effect::send(to, message));
+        }
+    }
+
     fn receive_message(&self, from: Destination, message: Message, effects: &mut Vec<Effect>) {
         let moment = self.moment();
         match message {
@@ -222,6 +250,15 @@
                 drop(agents);
                 self.membership().note_agent(moment.now, from, &heartbeat, effects);
             }
+            Message::QuotaAsk(ask) => {
+                let quota_slots = team_quota(&self.settings(), &ask.team).unwrap_or(0);
+                let reply = self.tables.quotas().take_ask(from.incarnation, &ask, quota_slots);
+                self.send_quota_messages(reply, effects);
+            }
+            Message::QuotaLoan(loan) => {
+                let reply = self.tables.quotas().take_loan(from.incarnation, &loan);
+                self.send_quota_messages(reply, effects);
+            }
             Message::Collect(collect) => self.receive_collect(from, &collect, effects),
             Message::Collected(collected) => self.receive_collected(from, collected, effects),
             Message::Note(note) => self.receive_note(from, note, effects),
@@ -332,6 +369,13 @@
             self.tables.agents().apply_settings(settings);
         }
         let incarnation = membership.identity().incarnation;
+        if change.view || change.reborn {
+            let others = view.members.keys().copied().filter(|&member| member != incarnation);
+            let rank = view.members.keys().filter(|&&member| member < incarnation).count();
+            let members = view.members.len() as u64;
+            let share = QuotaShare { rank: rank as u64, members };
+            self.tables.quotas().change_members(view.epoch, share, others.collect());
+        }
         for shard in &self.shards {
             let mut shard = lock(shard);
             if change.settings {
--- a/crates/bulrushlatch_core/src/process/shard/dispatch.rs
+++ b/crates/bulrushlatch_core/src/process/shard/dispatch.rs
@@ -14,10 +14,7 @@
 
 use super::{Moment, Shard};
 use crate::{
-    connection::{
-        placement::{Candidate, Placement as PlacementRule},
-        quota::QuotaShare,
-    },
+    connection::placement::{Candidate, Placement as PlacementRule},
     effect::{Destination, Effect},
     message::{
         Message, Placement, Probe, Report, Start, StartTask, TaskError, TaskReport, TaskReportState,
@@ -125,15 +122,14 @@
     ) -> Option<(QueuedTask, Incarnation)> {
         let tables = Arc::clone(&self.tables);
         let settings = Arc::clone(&self.settings);
-        let share = self.quota_share();
         let agents = tables.agents();
-        let quotas = tables.quotas();
+        let mut quotas = tables.quotas();
         let mut candidates: Vec<Candidate> = Vec::new();
         let weight_of = |team: &TeamId| team_weight(&settings, team);
         let fits = |team: &TeamId, task: &QueuedTask| {
-            let held_slots = quotas.held_slots(team) + u64::from(task.slots);
             let quota_slots = team_quota(&settings, team);
-            if quota_slots.is_some_and(|quota| held_slots > share.slots_of(quota)) {
+            let mut may_take = |quota| quotas.may_take(moment.now, team, quota, task.slots);
+            if quota_slots.is_some_and(|quota| !may_take(quota)) {
                 return false;
             }
             let silence = self.limits.silence;
@@ -141,17 +137,17 @@
             !candidates.is_empty()
         };
         let task = self.queue.pop(service, weight_of, fits)?;
+        let job = self.jobs.get(&task.key.submission_id);
+        let has_not_refused = |candidate: &Candidate| {
+            job.is_none_or(|job| !job.refused_by.contains(&candidate.agent))
+        };
+        if candidates.iter().any(has_not_refused) {
+            candidates.retain(has_not_refused);
+        }
         let chosen = self.rule.choose(&candidates);
         Some((task, candidates[chosen].agent))
     }
 
-    /// Every member has its part of each quota, so that together they never exceed it.
-    fn quota_share(&self) -> QuotaShare {
-        let members = self.view.members.len() as u64;
-        let before = self.view.members.keys().filter(|&&member| member < self.me.incarnation);
-        QuotaShare { rank: before.count() as u64, members }
-    }
-
     fn place(
         &mut self,
         moment: Moment,
@@ -232,6 +228,9 @@
             }
             TaskReportState::Failed(error) => {
                 self.note_target_failure(moment.now, agent, &error);
+                if let Some(job) = self.jobs.get_mut(&placement.submission_id) {
+                    job.refused_by.insert(agent);
+                }
                 self.take_failure(moment, &placement, refused, error, effects);
             }
         }
--- a/crates/bulrushlatch_core/src/request/job.rs
+++ b/crates/bulrushlatch_core/src/request/job.rs
@@ -30,6 +30,8 @@
     pub phase: JobPhase,
     /// One state for each task.
     pub tasks: Vec<TaskState>,
+    /// Agents that refused a task of the job; others are tried first.
+    pub refused_by: BTreeSet<Incarnation>,
 }
 
 /// A caller that waits for an answer.
@@ -136,7 +138,8 @@
     pub fn new(submission: Arc<Submission>, deadline: Instant, phase: JobPhase) -> Self {
         let digest = submission.digest();
         let tasks = vec![TaskState::Queued(0); submission.tasks.len()];
-        Self { submission, digest, deadline, waiters: BTreeSet::new(), phase, tasks }
+        let (waiters, refused_by) = (BTreeSet::new(), BTreeSet::new());
+        Self { submission, digest, deadline, waiters, phase, tasks, refused_by }
     }
 
     /// Returns whether the job has its final answer.
