Compare placement rules under a virtual clock; agents take no more than their slots

Adds 'bulrush-lab policy': the real decisions, three entries and eleven agents in virtual time with the link delays of both deployments.

Cause: entries learn of each other's placements only with the next report or heartbeat, so two entries could fill the same agent, and tasks waited there for up to a second while other agents had free slots. Agents queued up to twice their slots; now they refuse what they have no slot for, and the owner places it elsewhere at once (such a refusal does not count against the task's attempts).

--- a/crates/bulrushlatch_bin/src/bin/bulrush-lab.rs
+++ b/crates/bulrushlatch_bin/src/bin/bulrush-lab.rs
@@ -4,17 +4,22 @@
 
 use bulrushlatch_lab::{
     demo,
-    flags::{Bench, BulrushLab, BulrushLabCmd, Load, Log, Target},
+    flags::{Bench, BulrushLab, BulrushLabCmd, Load, Log, Policy, Target},
     load::{
         report::LoadFigures,
         run::{self, LoadPlan},
         workload::Workload,
     },
+    policy::{
+        comparison::{Condition, RuleName, compare},
+        virtual_site::FirstTarget,
+    },
     site::{Site, SiteShape},
     target::{Fault, LabTarget},
 };
 use bulrushlatch_log::http_server::LogServer;
 use bulrushlatch_runtime::telemetry::{LogFormat, start_logs};
+use strum::IntoEnumIterator;
 
 /// Agents, entries and slots of both deployments.
 const AGENTS: usize = 11;
@@ -28,6 +33,7 @@
         BulrushLabCmd::Target(flags) => serve_target(&flags),
         BulrushLabCmd::Load(flags) => put_load(&flags),
         BulrushLabCmd::Bench(flags) => bench(&flags),
+        BulrushLabCmd::Policy(flags) => compare_policies(&flags),
         BulrushLabCmd::Demo(_) => demo::run(),
     };
     match result {
@@ -110,6 +116,34 @@
     check_answers(&report.wrong_answers)
 }
 
+fn compare_policies(flags: &Policy) -> Result<(), String> {
+    let rules: Vec<RuleName> = match flags.rule.as_deref() {
+        Some(name) => vec![name.parse().map_err(|_| format!("--rule: no such rule {name:?}"))?],
+        None => RuleName::iter().collect(),
+    };
+    let first_target = flags.first_target.as_deref().unwrap_or("normal");
+    let first_target: FirstTarget =
+        first_target.parse().map_err(|_| format!("--first-target: not {first_target:?}"))?;
+    let loads = match flags.load {
+        Some(percent) => vec![(percent, false)],
+        None => vec![(50, false), (80, false), (95, false), (80, true)],
+    };
+    for (percent, has_burst) in loads {
+        let condition = Condition {
+            workload: workload(flags.workload.as_deref())?,
+            load: f64::from(percent) / 100.0,
+            has_burst,
+            first_target,
+            duration: Duration::from_secs(flags.seconds.unwrap_or(60)),
+            seed: flags.seed.unwrap_or(1),
+        };
+        for &rule in &rules {
+            println!("{}", compare(rule, condition));
+        }
+    }
+    Ok(())
+}
+
 /// Returns the messages and the calls that all processes have sent.
 fn sent(site: &Site) -> (u64, u64) {
     let entries = site.entries.iter().map(|entry| entry.process.outbox().counters());
--- a/crates/bulrushlatch_core/src/process/agent.rs
+++ b/crates/bulrushlatch_core/src/process/agent.rs
@@ -269,7 +269,7 @@
         if task.slots > self.description.slots {
             return Some(not_run(Reason::NeverFits, "the target has too few slots"));
         }
-        if self.busy_slots() + task.slots > self.description.slots * 2 {
+        if self.busy_slots() + task.slots > self.description.slots {
             return Some(not_run(Reason::QueueFull, "the target is busy"));
         }
         if self.memory.len() >= MAX_REMEMBERED_TASKS {
--- a/crates/bulrushlatch_core/src/process/shard/dispatch.rs
+++ b/crates/bulrushlatch_core/src/process/shard/dispatch.rs
@@ -228,7 +228,8 @@
             }
             TaskReportState::Failed(error) => {
                 self.note_target_failure(moment.now, agent, &error);
-                if let Some(job) = self.jobs.get_mut(&placement.submission_id) {
+                let job = self.jobs.get_mut(&placement.submission_id);
+                if let Some(job) = job.filter(|_| error.reason != Reason::QueueFull) {
                     job.refused_by.insert(agent);
                 }
                 self.take_failure(moment, &placement, refused, error, effects);
@@ -245,11 +246,14 @@
         effects: &mut Vec<Effect>,
     ) {
         let may_place_again = error.ran.allows_another_placement();
+        // A target without a free slot is no fault, and its report tells when it has one.
+        let is_busy = error.reason == Reason::QueueFull;
+        let refused = refused + u32::from(!is_busy);
         if may_place_again {
             self.counters.refused_placements += 1;
         }
-        if may_place_again && refused + 1 < self.limits.max_attempts {
-            self.set_task(placement, TaskState::Queued(refused + 1));
+        if may_place_again && refused < self.limits.max_attempts {
+            self.set_task(placement, TaskState::Queued(refused));
             self.queue_again(placement);
             return;
         }
--- a/crates/bulrushlatch_lab/src/flags.rs
+++ b/crates/bulrushlatch_lab/src/flags.rs
@@ -51,6 +51,21 @@
             /// Print the report as JSON
             optional --json
         }
+        /// Compare placement rules under a virtual clock
+        cmd policy {
+            /// Deployment: marea or fairgo (default marea)
+            optional --workload name: String
+            /// Only this rule: any_free, power_of_two, most_free or zone_first
+            optional --rule name: String
+            /// Load as a share of the slots, in percent (default: 50, 80, 95 and a burst at 80)
+            optional --load percent: u32
+            /// First target: normal, slow or fails_all (default normal)
+            optional --first-target kind: String
+            /// Time to submit for in virtual seconds (default 60)
+            optional --seconds seconds: u64
+            /// Seed of all random choices (default 1)
+            optional --seed seed: u64
+        }
         /// Run the whole path in one process and check the answers
         cmd demo {
         }
@@ -70,6 +85,7 @@
     Target(Target),
     Load(Load),
     Bench(Bench),
+    Policy(Policy),
     Demo(Demo),
 }
 
@@ -105,6 +121,16 @@
     pub json: bool,
 }
 
+#[derive(Debug)]
+pub struct Policy {
+    pub workload: Option<String>,
+    pub rule: Option<String>,
+    pub load: Option<u32>,
+    pub first_target: Option<String>,
+    pub seconds: Option<u64>,
+    pub seed: Option<u64>,
+}
+
 #[derive(Debug)]
 pub struct Demo;
 
--- a/crates/bulrushlatch_lab/src/lib.rs
+++ b/crates/bulrushlatch_lab/src/lib.rs
@@ -5,9 +5,11 @@
 //! - [`site`]: a whole site in one process
 //! - [`demo`]: the whole path, checked, by one command
 //! - [`load`]: an open-loop load with its report
+//! - [`policy`]: policies compared under a virtual clock
 
 pub mod demo;
 pub mod flags;
 pub mod load;
+pub mod policy;
 pub mod site;
 pub mod target;
--- a/crates/bulrushlatch_lab/src/load/workload.rs
+++ b/crates/bulrushlatch_lab/src/load/workload.rs
@@ -76,6 +76,15 @@
     pub submission: Submission,
     /// Run time of its longest task.
     pub longest_run_ms: u64,
+    /// Run times of its tasks.
+    pub run_ms: Vec<u64>,
+}
+
+impl PlannedSubmission {
+    /// Returns the time for which its tasks keep slots busy.
+    pub fn slot_ms(&self) -> u64 {
+        self.run_ms.iter().sum()
+    }
 }
 
 impl Workload {
@@ -99,22 +108,18 @@
     pub fn plan(self, random: &mut fastrand::Rng, submission_id: &str) -> PlannedSubmission {
         let ingredient = self.pick(random);
         let count = random.usize(ingredient.tasks.clone());
-        let mut longest_run_ms = 0;
-        let tasks = (0..count).map(|_| {
-            let run_ms = random.u64(ingredient.run_ms.clone());
-            longest_run_ms = longest_run_ms.max(run_ms);
-            task(ingredient.kind, run_ms)
-        });
-        let tasks = tasks.collect();
+        let run_ms = (0..count).map(|_| random.u64(ingredient.run_ms.clone()));
+        let run_ms: Vec<u64> = run_ms.collect();
         let submission = Submission {
             submission_id: submission_id.into(),
             team: self.team().into(),
             service: self.service().into(),
             timeout_ms: ingredient.timeout_ms,
             repeatable: ingredient.repeatable,
-            tasks,
+            tasks: run_ms.iter().map(|&run_ms| task(ingredient.kind, run_ms)).collect(),
         };
-        PlannedSubmission { submission, longest_run_ms }
+        let longest_run_ms = run_ms.iter().copied().max().unwrap_or(0);
+        PlannedSubmission { submission, longest_run_ms, run_ms }
     }
 
     /// Returns the average time that one submission keeps a slot busy.
--- /dev/null
+++ b/crates/bulrushlatch_lab/src/policy/comparison.rs
@@ -0,0 +1,168 @@
+//! The same load under each rule and condition.
+
+use std::{collections::BTreeMap, fmt, time::Duration};
+
+use bulrushlatch_core::connection::placement::{
+    AnyFree, MostFree, Placement as PlacementRule, PowerOfTwo, ZoneFirst,
+};
+use bulrushlatch_protocol::answer::AnswerState;
+
+use super::virtual_site::{Deployment, FirstTarget, VirtualSite};
+use crate::load::{
+    report::{LoadFigures, LoadReport},
+    workload::Workload,
+};
+
+/// Time in which a new site gets ready.
+const READY: Duration = Duration::from_secs(3);
+/// Time after the load in which the last answers arrive.
+const TAIL: Duration = Duration::from_secs(40);
+/// One way between a client and its entry, there and back, and the hop to the target.
+const IDEAL_NETWORK_MS: f64 = 2.4;
+/// Factor on the rate during a burst.
+const BURST_FACTOR: f64 = 3.0;
+
+/// A rule of placement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString, strum::EnumIter)]
+#[strum(serialize_all = "snake_case")]
+pub enum RuleName {
+    /// Any agent with a free slot.
+    AnyFree,
+    /// The freer one of two.
+    PowerOfTwo,
+    /// The one with the most free slots.
+    MostFree,
+    /// The own availability zone first.
+    ZoneFirst,
+}
+
+/// A condition to compare rules under.
+#[derive(Clone, Copy, Debug)]
+pub struct Condition {
+    /// Mix of submissions and the deployment that they are for.
+    pub workload: Workload,
+    /// Load as a share of the slots.
+    pub load: f64,
+    /// Whether the load is three times as high for a tenth of the time.
+    pub has_burst: bool,
+    /// What the first target does.
+    pub first_target: FirstTarget,
+    /// Time to submit for.
+    pub duration: Duration,
+    /// Seed of all random choices.
+    pub seed: u64,
+}
+
+/// What came of a condition under one rule.
+#[derive(Clone, Debug)]
+pub struct ComparisonRow {
+    /// The rule.
+    pub rule: RuleName,
+    /// The condition.
+    pub condition: Condition,
+    /// Response times and answers.
+    pub figures: LoadFigures,
+    /// Messages for submissions and tasks, for each task.
+    pub work_messages_per_task: f64,
+    /// Results of complete answers, as a share of what all slots could have done.
+    pub goodput: f64,
+}
+
+impl fmt::Display for ComparisonRow {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let condition = &self.condition;
+        let answers = |state| self.figures.answers.get(&state).copied().unwrap_or(0);
+        let all: u64 = self.figures.answers.values().sum();
+        write!(
+            f,
+            "{:<6} load {:>3.0}%{} {:<9} {:<12} ratio p50 {:.3} p99 {:.3}  messages/task {:.3}  \
+             goodput {:.3}  complete {} failed {} refused {} of {}",
+            condition.workload.to_string(),
+            condition.load * 100.0,
+            if condition.has_burst { " burst" } else { "      " },
+            condition.first_target.to_string(),
+            self.rule.to_string(),
+            self.figures.ratio_p50,
+            self.figures.ratio_p99,
+            self.work_messages_per_task,
+            self.goodput,
+            answers(AnswerState::Complete),
+            answers(AnswerState::Failed),
+            answers(AnswerState::Refused),
+            all,
+        )
+    }
+}
+
+/// Runs a condition under a rule.
+pub fn compare(rule: RuleName, condition: Condition) -> ComparisonRow {
+    match rule {
+        RuleName::AnyFree => run(rule, condition, AnyFree::new),
+        RuleName::PowerOfTwo => run(rule, condition, PowerOfTwo::new),
+        RuleName::MostFree => run(rule, condition, MostFree::new),
+        RuleName::ZoneFirst => run(rule, condition, ZoneFirst::new),
+    }
+}
+
+/// Returns the deployment of the brief that a workload is for.
+pub fn deployment_of(workload: Workload) -> Deployment {
+    let (zones, zone_delay) = match workload {
+        Workload::Marea => (4, Duration::from_micros(1500)),
+        Workload::Fairgo => (3, Duration::from_micros(500)),
+    };
+    Deployment { zones, zone_delay, entries: 3, agents: 11, slots: 8 }
+}
+
+fn run<P: PlacementRule>(
+    rule: RuleName,
+    condition: Condition,
+    make_rule: impl Fn(u64) -> P,
+) -> ComparisonRow {
+    let workload = condition.workload;
+    let deployment = deployment_of(workload);
+    let (team, service) = (workload.team(), workload.service());
+    let mut site = VirtualSite::new(deployment, team, service, condition.first_target, make_rule);
+    site.run_until(READY);
+    let messages_before = site.messages.work;
+    let mut random = fastrand::Rng::with_seed(condition.seed);
+    let all_slots = f64::from(deployment.slots) * deployment.agents as f64;
+    let rate = condition.load * all_slots * 1000.0 / workload.average_slot_ms();
+    let mut due = READY;
+    let mut planned = BTreeMap::new();
+    let mut report = LoadReport::default();
+    while due < READY + condition.duration {
+        let ticket = planned.len() as u64 + 1;
+        let submission = workload.plan(&mut random, &format!("job-{ticket}"));
+        report.tasks += submission.submission.tasks.len() as u64;
+        let entry = random.usize(..deployment.entries);
+        site.submit_at(due, entry, ticket, submission.submission.clone());
+        planned.insert(ticket, (due, submission));
+        let progress = (due - READY).as_secs_f64() / condition.duration.as_secs_f64();
+        let is_burst = condition.has_burst && (0.5..0.6).contains(&progress);
+        let factor = if is_burst { BURST_FACTOR } else { 1.0 };
+        due += Duration::from_secs_f64(-(1.0 - random.f64()).ln() / (rate * factor));
+    }
+    site.run_until(READY + condition.duration + TAIL);
+    let mut done_slot_ms = 0;
+    for given in &site.answers {
+        let Some((at, submission)) = planned.get(&given.ticket) else { continue };
+        *report.answers.entry(given.answer.state).or_default() += 1;
+        if let Some(reason) = given.answer.reason {
+            *report.refusals.entry(reason).or_default() += 1;
+        }
+        if given.answer.state == AnswerState::Complete {
+            let response_ms = (given.at - *at).as_secs_f64() * 1000.0;
+            report.note_time(response_ms, submission.longest_run_ms as f64 + IDEAL_NETWORK_MS);
+            done_slot_ms += submission.slot_ms();
+        }
+    }
+    let tasks = report.tasks.max(1) as f64;
+    let possible_slot_ms = all_slots * condition.duration.as_secs_f64() * 1000.0;
+    ComparisonRow {
+        rule,
+        condition,
+        figures: report.figures(),
+        work_messages_per_task: (site.messages.work - messages_before) as f64 / tasks,
+        goodput: done_slot_ms as f64 / possible_slot_ms,
+    }
+}
--- /dev/null
+++ b/crates/bulrushlatch_lab/src/policy/virtual_site.rs
@@ -0,0 +1,377 @@
+//! Entries, agents and links in virtual time, without faults of processes or links.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use bulrushlatch_core::{
+    clock::{Clock, VirtualClock},
+    connection::placement::Placement as PlacementRule,
+    effect::Effect,
+    limits::Limits,
+    message::{AgentDescription, Envelope, Message, StartTask, TaskDone, TaskError, Ticket},
+    process::{agent::Agent, entry::Entry, membership::EntryIdentity},
+    version::{settings::SettingsTree, stream::record_body},
+};
+use bulrushlatch_log::{
+    memory_log::MemoryLog,
+    platform_log::{PlatformLog, StreamName},
+};
+use bulrushlatch_protocol::{
+    answer::{Answer, Reason},
+    change::{Change, SettingKey},
+    submission::Submission,
+    verdict::Verdict,
+};
+use serde_json::value::RawValue;
+
+use crate::target::LabPayload;
+
+/// Time between ticks of an entry, as in the program.
+const ENTRY_TICK: Duration = Duration::from_millis(5);
+/// Time between ticks of an agent, as in the program.
+const AGENT_TICK: Duration = Duration::from_millis(20);
+/// Time between reads of the log.
+const LOG_READ: Duration = Duration::from_millis(100);
+/// One way within an availability zone.
+const SAME_ZONE_DELAY: Duration = Duration::from_micros(200);
+/// One way between a client and its entry.
+const CLIENT_DELAY: Duration = Duration::from_millis(1);
+/// Factor on run times at a slow target.
+const SLOW_FACTOR: u64 = 5;
+
+/// A deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Deployment {
+    /// Availability zones.
+    pub zones: usize,
+    /// One way between availability zones.
+    pub zone_delay: Duration,
+    /// Entries.
+    pub entries: usize,
+    /// Agents, each with a target.
+    pub agents: usize,
+    /// Slots of each target.
+    pub slots: u32,
+}
+
+/// What the first target does.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display, strum::EnumString, strum::EnumIter,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum FirstTarget {
+    /// The same as the others.
+    #[default]
+    Normal,
+    /// It takes five times as long.
+    Slow,
+    /// It fails every task at once.
+    FailsAll,
+}
+
+/// Messages of one kind of use.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MessageCount {
+    /// Messages for submissions and tasks.
+    pub work: u64,
+    /// Heartbeats and agreed state.
+    pub control: u64,
+}
+
+/// An answer that a client got.
+#[derive(Clone, Debug)]
+pub struct ClientAnswer {
+    /// The client's call.
+    pub ticket: Ticket,
+    /// When the client had it.
+    pub at: Duration,
+    /// What it said.
+    pub answer: Answer,
+}
+
+enum Event {
+    Deliver(SocketAddr, Envelope),
+    TaskEnds(usize, Box<StartTask>, Result<TaskDone, TaskError>),
+    Submit(usize, Ticket, Box<Submission>),
+    TickEntries,
+    TickAgents,
+    ReadLog,
+}
+
+/// A site in virtual time.
+pub struct VirtualSite<P> {
+    deployment: Deployment,
+    clock: Arc<VirtualClock>,
+    now: Duration,
+    entries: Vec<Entry<Arc<VirtualClock>, P>>,
+    agents: Vec<Agent>,
+    log: MemoryLog,
+    first_target: FirstTarget,
+    events: BTreeMap<(Duration, u64), Event>,
+    next_event: u64,
+    /// Messages sent so far.
+    pub messages: MessageCount,
+    /// Tasks started so far.
+    pub started_tasks: u64,
+    /// Answers that clients got and that were not taken yet.
+    pub answers: Vec<ClientAnswer>,
+}
+
+impl<P: PlacementRule> VirtualSite<P> {
+    /// Returns a site that has just been started; `rule` makes the rule of an entry.
+    pub fn new(
+        deployment: Deployment,
+        team: &str,
+        service: &str,
+        first_target: FirstTarget,
+        rule: impl Fn(u64) -> P,
+    ) -> Self {
+        let clock = Arc::new(VirtualClock::new());
+        let addresses: Vec<SocketAddr> = (0..deployment.entries).map(entry_address).collect();
+        let entries = (0..deployment.entries).map(|index| {
+            let identity = EntryIdentity {
+                incarnation: index as u64 + 1,
+                name: format!("entry-{index}").into(),
+                address: entry_address(index),
+                zone: zone_name(index % deployment.zones).into(),
+            };
+            let limits = Arc::new(Limits::default());
+            let rules = vec![rule(index as u64)];
+            Entry::new(Arc::clone(&clock), identity, limits, addresses.clone(), rules)
+        });
+        let agents = (0..deployment.agents).map(|index| {
+            let description = AgentDescription {
+                name: format!("agent-{index}").into(),
+                address: agent_address(index),
+                zone: zone_name(index % deployment.zones).into(),
+                service: service.into(),
+                slots: deployment.slots,
+                formers: Vec::new(),
+            };
+            let limits = Arc::new(Limits::default());
+            Agent::new(1000 + index as u64, description, limits, addresses.clone(), clock.now())
+        });
+        let mut site = Self {
+            deployment,
+            now: Duration::ZERO,
+            entries: entries.collect(),
+            agents: agents.collect(),
+            clock,
+            log: MemoryLog::default(),
+            first_target,
+            events: BTreeMap::new(),
+            next_event: 0,
+            messages: MessageCount::default(),
+            started_tasks: 0,
+            answers: Vec::new(),
+        };
+        site.publish_team(team);
+        site.plan(Duration::ZERO, Event::TickEntries);
+        site.plan(Duration::ZERO, Event::TickAgents);
+        site.plan(Duration::ZERO, Event::ReadLog);
+        site
+    }
+
+    /// Plans a submission of a client at an entry.
+    pub fn submit_at(
+        &mut self,
+        at: Duration,
+        entry: usize,
+        ticket: Ticket,
+        submission: Submission,
+    ) {
+        let entry = entry % self.entries.len();
+        self.plan(at + CLIENT_DELAY, Event::Submit(entry, ticket, Box::new(submission)));
+    }
+
+    /// Moves time on to `until`.
+    pub fn run_until(&mut self, until: Duration) {
+        while let Some((&key, _)) = self.events.first_key_value() {
+            if key.0 > until {
+                break;
+            }
+            let Some(event) = self.events.remove(&key) else { break };
+            self.now = key.0;
+            self.clock.set_elapsed(self.now);
+            self.handle(event);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Deliver(to, envelope) => self.deliver(to, envelope),
+            Event::TaskEnds(agent, task, outcome) => {
+                let now = self.clock.now();
+                let mut effects = Vec::new();
+                let placement = &task.placement;
+                let (id, index) = (&placement.submission_id, placement.index);
+                self.agents[agent].finish(now, id, index, outcome, &mut effects);
+                self.execute_for_agent(agent, effects);
+            }
+            Event::Submit(entry, ticket, submission) => {
+                let mut effects = Vec::new();
+                self.entries[entry].submit(ticket, *submission, &mut effects);
+                self.execute_for_entry(entry, effects);
+            }
+            Event::TickEntries => {
+                for index in 0..self.entries.len() {
+                    let mut effects = Vec::new();
+                    self.entries[index].tick(&mut effects);
+                    self.execute_for_entry(index, effects);
+                }
+                self.plan(self.now + ENTRY_TICK, Event::TickEntries);
+            }
+            Event::TickAgents => {
+                let now = self.clock.now();
+                for index in 0..self.agents.len() {
+                    let mut effects = Vec::new();
+                    self.agents[index].tick(now, &mut effects);
+                    self.execute_for_agent(index, effects);
+                }
+                self.plan(self.now + AGENT_TICK, Event::TickAgents);
+            }
+            Event::ReadLog => {
+                self.read_log();
+                self.plan(self.now + LOG_READ, Event::ReadLog);
+            }
+        }
+    }
+
+    fn deliver(&mut self, to: SocketAddr, envelope: Envelope) {
+        let now = self.clock.now();
+        let mut effects = Vec::new();
+        let index = usize::from(to.port() % 1000);
+        if to.port() < 2000 {
+            self.entries[index].receive(envelope, &mut effects);
+            self.execute_for_entry(index, effects);
+        } else {
+            self.agents[index].receive(now, envelope, &mut effects);
+            self.execute_for_agent(index, effects);
+        }
+    }
+
+    fn execute_for_entry(&mut self, index: usize, effects: Vec<Effect>) {
+        let from = self.entries[index].incarnation();
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => {
+                    self.send(from, entry_address(index), to.address, to.incarnation, *message);
+                }
+                Effect::Answer { ticket, answer } => {
+                    let at = self.now + CLIENT_DELAY;
+                    self.answers.push(ClientAnswer { ticket, at, answer: *answer });
+                }
+                Effect::Append { stream, body } => {
+                    // The log of a measurement is always up.
+                    let _ = self.log.append(stream, &body);
+                }
+                Effect::Run(_) => {}
+            }
+        }
+    }
+
+    fn execute_for_agent(&mut self, index: usize, effects: Vec<Effect>) {
+        let from = self.agents[index].incarnation();
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => {
+                    self.send(from, agent_address(index), to.address, to.incarnation, *message);
+                }
+                Effect::Run(task) => self.run_task(index, task),
+                _ => {}
+            }
+        }
+    }
+
+    fn run_task(&mut self, agent: usize, task: Box<StartTask>) {
+        self.started_tasks += 1;
+        let payload: LabPayload = serde_json::from_str(task.payload.get()).unwrap_or_default();
+        let first_target = if agent == 0 { self.first_target } else { FirstTarget::Normal };
+        if first_target == FirstTarget::FailsAll {
+            let error = TaskError {
+                ran: Verdict::Ran,
+                reason: Reason::TaskFailed,
+                message: "the target failed".to_owned(),
+            };
+            self.plan(self.now + SAME_ZONE_DELAY, Event::TaskEnds(agent, task, Err(error)));
+            return;
+        }
+        let factor = if first_target == FirstTarget::Slow { SLOW_FACTOR } else { 1 };
+        let run_ms = payload.run_ms * factor;
+        let done = TaskDone { result: RawValue::NULL.to_owned().into(), run_ms };
+        let end = self.now + Duration::from_millis(run_ms);
+        self.plan(end, Event::TaskEnds(agent, task, Ok(done)));
+    }
+
+    fn send(
+        &mut self,
+        from: u64,
+        from_address: SocketAddr,
+        to_address: SocketAddr,
+        to: u64,
+        message: Message,
+    ) {
+        match message {
+            Message::EntryHeartbeat(_)
+            | Message::StateUpdate(_)
+            | Message::AgentHeartbeat(_)
+            | Message::Directive(_)
+            | Message::Sealed(_)
+            | Message::Collect(_)
+            | Message::Collected(_) => self.messages.control += 1,
+            _ => self.messages.work += 1,
+        }
+        let delay = self.delay(from_address, to_address);
+        let envelope = Envelope { from, from_address, to, messages: vec![message] };
+        self.plan(self.now + delay, Event::Deliver(to_address, envelope));
+    }
+
+    fn delay(&self, from: SocketAddr, to: SocketAddr) -> Duration {
+        let zone = |address: SocketAddr| usize::from(address.port() % 1000) % self.deployment.zones;
+        if zone(from) == zone(to) { SAME_ZONE_DELAY } else { self.deployment.zone_delay }
+    }
+
+    fn read_log(&mut self) {
+        for index in 0..self.entries.len() {
+            for stream in [StreamName::Ownership, StreamName::Settings] {
+                let from = self.entries[index].next_offset(stream);
+                let Ok(page) = self.log.read(stream, from, 1000) else { continue };
+                let mut effects = Vec::new();
+                self.entries[index].fold(stream, &page, &mut effects);
+                self.execute_for_entry(index, effects);
+            }
+        }
+    }
+
+    fn publish_team(&mut self, team: &str) {
+        let change = Change {
+            change_id: "create-team".to_owned(),
+            team: "operators".into(),
+            author: "lab".to_owned(),
+            path: team.to_owned(),
+            key: SettingKey::Owner,
+            value: Some(team.into()),
+            expected_version: 0,
+            reason: "a team for the lab".to_owned(),
+            published_at_ms: 0,
+        };
+        // The log of a measurement is always up.
+        let _ = self.log.append(StreamName::Settings, &record_body::<SettingsTree>(&change));
+    }
+
+    fn plan(&mut self, at: Duration, event: Event) {
+        self.next_event += 1;
+        self.events.insert((at, self.next_event), event);
+    }
+}
+
+fn entry_address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1000 + index as u16))
+}
+
+fn agent_address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 2000 + index as u16))
+}
+
+fn zone_name(index: usize) -> String {
+    format!("zone-{index}")
+}
