Agents keep freed slots for entries that they had to refuse

Cause: an entry learned of a free slot only from its own tasks' reports or the next heartbeat, up to 500 ms later, so near full load it bounced off full agents or waited although slots were free.

--- a/crates/bulrushlatch_core/src/process/agent.rs
+++ b/crates/bulrushlatch_core/src/process/agent.rs
@@ -13,7 +13,10 @@
     verdict::Verdict,
 };
 
-use super::task_memory::{AcceptedTask, TaskMemory};
+use super::{
+    slot_grants::SlotGrants,
+    task_memory::{AcceptedTask, TaskMemory},
+};
 use crate::{
     effect::{Destination, Effect},
     limits::Limits,
@@ -46,6 +49,7 @@
     waiting: VecDeque<WaitingTask>,
     /// Owner to whom the tasks of a submission are reported.
     reporters: BTreeMap<SubmissionId, Reporter>,
+    grants: SlotGrants,
     /// Slots of running tasks.
     running_slots: u32,
     running_tasks: u32,
@@ -108,6 +112,7 @@
             memory: TaskMemory::default(),
             waiting: VecDeque::new(),
             reporters: BTreeMap::new(),
+            grants: SlotGrants::default(),
             running_slots: 0,
             running_tasks: 0,
             entries: seeds.clone(),
@@ -207,7 +212,12 @@
         self.running_slots = self.running_slots.saturating_sub(slots);
         self.running_tasks = self.running_tasks.saturating_sub(1);
         self.run_waiting(now, effects);
-        self.report_end(now, report, effects);
+        let granted = self.grant_slots(now);
+        let owner = self.report_end(now, report, effects);
+        for entry in granted.into_iter().filter(|entry| Some(*entry) != owner) {
+            let report = Report { load: self.load(now, entry.incarnation), tasks: Vec::new() };
+            effects.push(Effect::send(entry, Message::Report(report)));
+        }
     }
 
     /// Does what is due.
@@ -238,9 +248,15 @@
                 reports.push(accepted.report());
                 continue;
             }
-            match self.refusal(&task, is_stale) {
-                None => self.accept(now, from, task),
+            match self.refusal(now, from.incarnation, &task, is_stale) {
+                None => {
+                    self.grants.use_grant(from.incarnation);
+                    self.accept(now, from, task);
+                }
                 Some(refusal) => {
+                    if refusal.reason == Reason::QueueFull {
+                        self.grants.note_refused(from);
+                    }
                     self.counters.refused_starts += 1;
                     self.memory.refuse(now, &placement);
                     reports.push(TaskReport { placement, state: TaskReportState::Failed(refusal) });
@@ -251,7 +267,13 @@
         self.send_report(now, from, reports, effects);
     }
 
-    fn refusal(&mut self, task: &StartTask, is_stale: bool) -> Option<TaskError> {
+    fn refusal(
+        &mut self,
+        now: Instant,
+        from: Incarnation,
+        task: &StartTask,
+        is_stale: bool,
+    ) -> Option<TaskError> {
         let placement = &task.placement;
         let slice = usize::from(slice_of(&placement.submission_id));
         let is_fenced = placement.epoch < self.fences[slice];
@@ -269,7 +291,8 @@
         if task.slots > self.description.slots {
             return Some(not_run(Reason::NeverFits, "the target has too few slots"));
         }
-        if self.busy_slots() + task.slots > self.description.slots {
+        let taken_slots = self.busy_slots() + self.grants.kept_from(now, from);
+        if taken_slots + task.slots > self.description.slots {
             return Some(not_run(Reason::QueueFull, "the target is busy"));
         }
         if self.memory.len() >= MAX_REMEMBERED_TASKS {
@@ -406,7 +429,7 @@
         self.last_heartbeat = Some(now);
         let heartbeat = AgentHeartbeat {
             agent: self.description.clone(),
-            load: self.load(now),
+            load: self.load(now, 0),
             settings_offset: self.settings_offset,
             ownership_offset: self.ownership_offset,
         };
@@ -417,11 +440,26 @@
         }
     }
 
-    fn report_end(&mut self, now: Instant, report: TaskReport, effects: &mut Vec<Effect>) {
+    /// Reports the end of a task, and returns to whom.
+    fn report_end(
+        &mut self,
+        now: Instant,
+        report: TaskReport,
+        effects: &mut Vec<Effect>,
+    ) -> Option<Destination> {
         let submission_id = report.placement.submission_id.clone();
-        if let Some(destination) = self.close_task(&submission_id) {
-            self.send_report(now, destination, vec![report], effects);
+        let destination = self.close_task(&submission_id)?;
+        self.send_report(now, destination, vec![report], effects);
+        Some(destination)
+    }
+
+    /// Keeps free slots for entries that were refused, and returns those entries.
+    fn grant_slots(&mut self, now: Instant) -> Vec<Destination> {
+        if self.is_leaving() {
+            return Vec::new();
         }
+        let free_slots = self.description.slots.saturating_sub(self.busy_slots());
+        std::iter::from_fn(|| self.grants.grant_next(now, free_slots)).collect()
     }
 
     /// Notes that a task of a submission ended, and returns whom to tell.
@@ -445,14 +483,15 @@
         if tasks.is_empty() {
             return;
         }
-        let report = Report { load: self.load(now), tasks };
+        let report = Report { load: self.load(now, to.incarnation), tasks };
         effects.push(Effect::send(to, Message::Report(report)));
     }
 
-    fn load(&self, now: Instant) -> AgentLoad {
+    /// Returns the load as one entry sees it, which cannot use what is kept for others.
+    fn load(&self, now: Instant, entry: Incarnation) -> AgentLoad {
         let stamp = now.saturating_duration_since(self.started);
         AgentLoad {
-            busy_slots: self.busy_slots(),
+            busy_slots: self.busy_slots() + self.grants.kept_from(now, entry),
             leaving: self.is_leaving(),
             stamp_ms: stamp.as_millis() as u64,
         }
--- a/crates/bulrushlatch_core/src/process/entry.rs
+++ b/crates/bulrushlatch_core/src/process/entry.rs
@@ -278,6 +278,12 @@
             }
             Message::Report(report) => {
                 let load = report.load;
+                self.tables.agents().note_load(moment.now, from.incarnation, load);
+                if report.tasks.is_empty() {
+                    for shard in &self.shards {
+                        lock(shard).dispatch(moment, effects);
+                    }
+                }
                 let slice =
                     |task: &crate::message::TaskReport| slice_of(&task.placement.submission_id);
                 for (index, tasks) in self.split(report.tasks, slice) {
--- a/crates/bulrushlatch_core/src/process/mod.rs
+++ b/crates/bulrushlatch_core/src/process/mod.rs
@@ -4,10 +4,12 @@
 //! - [`shard`]: the submissions of a group of slices at an entry
 //! - [`entry`]: a whole entry: membership, shards and what they share
 //! - [`agent`]: the process beside a target, where tasks start
+//! - [`slot_grants`]: free slots that an agent keeps for entries that it refused
 //! - [`task_memory`]: what an agent remembers of tasks
 
 pub mod agent;
 pub mod entry;
 pub mod membership;
 pub mod shard;
+pub mod slot_grants;
 pub mod task_memory;
--- a/crates/bulrushlatch_core/src/process/shard/dispatch.rs
+++ b/crates/bulrushlatch_core/src/process/shard/dispatch.rs
@@ -31,7 +31,7 @@
 
 impl<P: PlacementRule> Shard<P> {
     /// Places waiting tasks as long as agents have free slots.
-    pub(super) fn dispatch(&mut self, moment: Moment, effects: &mut Vec<Effect>) {
+    pub fn dispatch(&mut self, moment: Moment, effects: &mut Vec<Effect>) {
         if self.queue.is_empty() {
             return;
         }
