Refusals need a lease; the forwarding entry is the witness

Ruled out: a late answer, since the caller was at the frozen entry itself. An owner now says 'not run' only under a lease: every member is known to have had its heartbeat within the silence limit, and the log or all members say that nobody joined. Without it the answer is 'unknown'. A joining owner waits the full recovery wait for members that do not answer.

Messages: the entry that forwards a submission remembers the id before it sends it, and is the witness; a note and its reply are saved, and a round trip.

--- a/crates/bulrushlatch_core/src/message.rs
+++ b/crates/bulrushlatch_core/src/message.rs
@@ -100,6 +100,10 @@
     pub settings_offset: Offset,
     /// Registered agents that the sender has not heard of for too long.
     pub silent_agents: Vec<Incarnation>,
+    /// The sender's clock in milliseconds.
+    pub sent_ms: u64,
+    /// The receiver's clock in the latest heartbeat that the sender had from it.
+    pub echo_ms: Option<u64>,
 }
 
 /// Agreed state for a process that lags or cannot read the log.
@@ -120,6 +124,8 @@
     pub epoch: Epoch,
     /// The sender's clock in milliseconds, which the answer brings back.
     pub sent_ms: u64,
+    /// Whether the sender remembers the id as a witness.
+    pub is_witness: bool,
     /// The submission; its `timeout_ms` is the time that is left.
     pub submission: Arc<Submission>,
 }
--- a/crates/bulrushlatch_core/src/process/entry.rs
+++ b/crates/bulrushlatch_core/src/process/entry.rs
@@ -126,7 +126,9 @@
                 self.adopt(update, effects);
             } else if let Message::EntryHeartbeat(heartbeat) = &message {
                 let now = self.clock.now();
-                self.membership().note_entry(now, from, heartbeat, effects);
+                let mut membership = self.membership();
+                membership.note_entry(now, from, heartbeat, effects);
+                self.tables.set_lease(membership.lease_until(now));
             } else if envelope.to == 0 || envelope.to == self.incarnation() {
                 self.receive_message(from, message, effects);
             }
@@ -369,6 +371,7 @@
     ) {
         let view = membership.view();
         let settings = membership.settings();
+        self.tables.set_lease(membership.lease_until(moment.now));
         if change.view {
             self.tables.agents().apply_view(view, settings);
         }
--- a/crates/bulrushlatch_core/src/process/membership.rs
+++ b/crates/bulrushlatch_core/src/process/membership.rs
@@ -26,6 +26,9 @@
 /// Factor on the silence limit for an entry that does not hear most of the others.
 const MINORITY_PATIENCE: u32 = 4;
 
+/// Allowance for clocks that do not run at the same rate, and for the time of an answer.
+const LEASE_MARGIN: Duration = Duration::from_millis(300);
+
 /// Who an entry is; the incarnation may change while the process lives.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EntryIdentity {
@@ -65,6 +68,10 @@
     /// When each record was last written, so that it is not written again at once.
     last_writes: BTreeMap<WriteKey, Instant>,
     last_heartbeat: Option<Instant>,
+    /// Start of the clock in heartbeats.
+    started: Instant,
+    /// When the ownership stream was last read to its end.
+    last_ownership_read: Option<Instant>,
     /// When this process first knew the members it knows now.
     view_since: Instant,
     last_view_snapshot: Instant,
@@ -76,6 +83,10 @@
 #[derive(Clone, Debug)]
 struct PeerState {
     last_heard: Instant,
+    /// The peer's clock in its latest heartbeat.
+    sent_ms: u64,
+    /// When the latest of this entry's heartbeats that the peer has had was sent.
+    echoed: Option<Instant>,
     ownership_offset: Offset,
     settings_offset: Offset,
     silent_agents: BTreeSet<Incarnation>,
@@ -116,6 +127,8 @@
             newcomers: BTreeMap::new(),
             last_writes: BTreeMap::new(),
             last_heartbeat: None,
+            started: now,
+            last_ownership_read: None,
             view_since: now,
             last_view_snapshot: now,
             last_settings_snapshot: now,
@@ -171,7 +184,12 @@
     pub fn fold(&mut self, now: Instant, stream: StreamName, page: &LogPage) -> StateChange {
         let mut change = StateChange::default();
         match stream {
-            StreamName::Ownership => change.view = self.view.fold(page),
+            StreamName::Ownership => {
+                change.view = self.view.fold(page);
+                if page.next_offset == self.view.next_offset() {
+                    self.last_ownership_read = Some(now);
+                }
+            }
             StreamName::Settings => change.settings = self.settings.fold(page),
         }
         self.after_change(now, change)
@@ -192,8 +210,12 @@
         heartbeat: &EntryHeartbeat,
         effects: &mut Vec<Effect>,
     ) {
+        let known = self.peers.get(&from.incarnation);
+        let echoed = heartbeat.echo_ms.map(|ms| self.started + Duration::from_millis(ms));
         let peer = PeerState {
             last_heard: now,
+            sent_ms: known.map_or(0, |known| known.sent_ms).max(heartbeat.sent_ms),
+            echoed: known.and_then(|known| known.echoed).max(echoed),
             ownership_offset: heartbeat.ownership_offset,
             settings_offset: heartbeat.settings_offset,
             silent_agents: heartbeat.silent_agents.iter().copied().collect(),
@@ -262,6 +284,33 @@
         }
     }
 
+    /// Returns until when no other entry can serve what this one owns.
+    ///
+    /// Another member removes this one only if it has not had a heartbeat for the silence limit,
+    /// and an entry that joins serves without this one's word only after the recovery wait. So
+    /// the lease runs from the oldest heartbeat that every member is known to have had, and from
+    /// the latest proof that no entry joined: a read of the log, or the word of all members.
+    pub fn lease_until(&self, now: Instant) -> Option<Instant> {
+        if !self.is_member() {
+            return None;
+        }
+        let me = self.identity.incarnation;
+        let others = self.view().members.keys().filter(|&&member| member != me);
+        let others: Option<Vec<&PeerState>> = others.map(|other| self.peers.get(other)).collect();
+        let others = others?;
+        let oldest_echo = others.iter().map(|peer| peer.echoed).min();
+        let removal_lease = match oldest_echo {
+            Some(echoed) => Some(echoed? + self.limits.silence),
+            None => None,
+        };
+        let is_current = |peer: &&PeerState| peer.ownership_offset <= self.view.next_offset();
+        let members_agree = !others.is_empty() && others.iter().all(is_current);
+        let last_read = self.last_ownership_read.map(|read| read + self.limits.recovery_wait);
+        let join_lease = if members_agree { removal_lease.max(last_read) } else { last_read };
+        let lease = join_lease?.min(removal_lease.unwrap_or(join_lease?));
+        lease.checked_sub(LEASE_MARGIN).filter(|until| *until > now)
+    }
+
     /// Returns the time since another entry was heard.
     pub fn silent_for(&self, now: Instant, peer: Incarnation) -> Option<Duration> {
         self.peers.get(&peer).map(|peer| now.saturating_duration_since(peer.last_heard))
@@ -313,13 +362,16 @@
             return;
         }
         self.last_heartbeat = Some(now);
-        let heartbeat = EntryHeartbeat {
-            ownership_offset: self.view.next_offset(),
-            settings_offset: self.settings.next_offset(),
-            silent_agents: silent_agents.to_vec(),
-        };
+        let sent = now.saturating_duration_since(self.started);
         for to in self.heartbeat_receivers() {
-            effects.push(Effect::send(to, Message::EntryHeartbeat(heartbeat.clone())));
+            let heartbeat = EntryHeartbeat {
+                ownership_offset: self.view.next_offset(),
+                settings_offset: self.settings.next_offset(),
+                silent_agents: silent_agents.to_vec(),
+                sent_ms: sent.as_millis() as u64,
+                echo_ms: self.peers.get(&to.incarnation).map(|peer| peer.sent_ms),
+            };
+            effects.push(Effect::send(to, Message::EntryHeartbeat(heartbeat)));
         }
     }
 
--- a/crates/bulrushlatch_core/src/process/shard/admission.rs
+++ b/crates/bulrushlatch_core/src/process/shard/admission.rs
@@ -4,12 +4,12 @@
 
 use bulrushlatch_protocol::{
     answer::{Answer, Reason},
-    ids::{SLICE_COUNT, ServiceName, SubmissionId, slice_of, uuid_v7_time_ms},
+    ids::{Incarnation, SLICE_COUNT, ServiceName, SubmissionId, slice_of, uuid_v7_time_ms},
     submission::Submission,
     verdict::Verdict,
 };
 
-use super::{Moment, Shard, ownership::ParkedSubmission};
+use super::{Moment, Shard, ownership::Arrival};
 use crate::{
     connection::{agents::ServiceCapacity, placement::Placement as PlacementRule},
     effect::Effect,
@@ -35,29 +35,23 @@
 
 impl<P: PlacementRule> Shard<P> {
     /// Attaches to a known submission, or judges a new one. This entry owns its slice.
-    pub(super) fn admit(
-        &mut self,
-        moment: Moment,
-        waiter: Waiter,
-        submission: Arc<Submission>,
-        deadline: Instant,
-        effects: &mut Vec<Effect>,
-    ) {
-        let submission_id = submission.submission_id.clone();
+    pub(super) fn admit(&mut self, moment: Moment, arrival: Arrival, effects: &mut Vec<Effect>) {
+        let submission_id = arrival.submission.submission_id.clone();
         if self.jobs.contains_key(&submission_id) {
-            self.attach(moment, waiter, &submission, effects);
+            self.attach(moment, arrival.waiter, &arrival.submission, effects);
             return;
         }
         let Some(owned) = self.owned.get_mut(&slice_of(&submission_id)) else { return };
         if !owned.is_ready() {
-            owned.parked.push(ParkedSubmission { waiter, submission, deadline });
+            owned.parked.push(arrival);
             return;
         }
         let hold_until = self.remote.hold_until(&submission_id);
         if let Some(until) = hold_until.filter(|until| *until > moment.now) {
-            self.held.push((until, ParkedSubmission { waiter, submission, deadline }));
+            self.held.push((until, arrival));
             return;
         }
+        let Arrival { waiter, submission, deadline, witness } = arrival;
         let knows_all_ids = owned.knows_all_ids;
         let owned_since_ms = owned.since_wall_ms;
         if let Some(known) = self.known.get(&submission_id) {
@@ -84,7 +78,8 @@
             self.recover(moment, waiter, submission, deadline, true, effects);
             return;
         }
-        self.admit_new(moment, BTreeSet::from([waiter]), submission, deadline, effects);
+        let waiters = BTreeSet::from([waiter]);
+        self.admit_new(moment, waiters, submission, deadline, witness, effects);
     }
 
     /// Judges a submission of which nothing has ever started.
@@ -94,6 +89,7 @@
         waiters: BTreeSet<Waiter>,
         submission: Arc<Submission>,
         deadline: Instant,
+        witness: Option<Incarnation>,
         effects: &mut Vec<Effect>,
     ) {
         let submission_id = submission.submission_id.clone();
@@ -117,7 +113,7 @@
             closing: None,
             whereabouts: None,
         };
-        self.known.remember(moment.now, id);
+        self.known.remember(moment.now, id).holders.extend(witness);
         self.jobs.insert(submission_id.clone(), job);
         self.note_or_activate(moment, &submission_id, effects);
     }
--- a/crates/bulrushlatch_core/src/process/shard/forwarding.rs
+++ b/crates/bulrushlatch_core/src/process/shard/forwarding.rs
@@ -12,12 +12,12 @@
     verdict::Verdict,
 };
 
-use super::{Moment, Shard, ownership::ParkedSubmission};
+use super::{Moment, Shard, ownership::Arrival};
 use crate::{
     connection::{placement::Placement as PlacementRule, remote::MAX_REFUSAL_AGE},
     effect::{Destination, Effect},
     message::{Answered, Forward, Lookup, Message, NotOwner, Ticket},
-    request::job::Waiter,
+    request::{job::Waiter, known::KnownId},
 };
 
 /// Time until an unanswered request is sent again for the first time; it doubles after that.
@@ -51,6 +51,14 @@
     Lookup,
 }
 
+/// What the sender of a forward says of itself.
+#[derive(Clone, Copy, Debug)]
+struct ForwardStamp {
+    epoch: Epoch,
+    sent_ms: u64,
+    is_witness: bool,
+}
+
 impl ForwardedRequest {
     /// Returns a request to run a submission.
     pub fn submit(submission: Arc<Submission>, deadline: Instant) -> Self {
@@ -79,7 +87,7 @@
         }
     }
 
-    fn message(&self, now: Instant, sent_ms: u64, epoch: Epoch, ticket: Ticket) -> Message {
+    fn message(&self, now: Instant, stamp: ForwardStamp, ticket: Ticket) -> Message {
         let submission_id = self.submission_id.clone();
         match &self.kind {
             RequestKind::Submit(submission) => {
@@ -88,7 +96,8 @@
                 let mut submission = Submission::clone(submission);
                 submission.timeout_ms = time_left.as_millis().max(1) as u64;
                 let submission = Arc::new(submission);
-                Message::Forward(Forward { ticket, epoch, sent_ms, submission })
+                let ForwardStamp { epoch, sent_ms, is_witness } = stamp;
+                Message::Forward(Forward { ticket, epoch, sent_ms, is_witness, submission })
             }
             RequestKind::Cancel => Message::Cancel(Lookup { ticket, submission_id }),
             RequestKind::Lookup => Message::Lookup(Lookup { ticket, submission_id }),
@@ -113,7 +122,12 @@
         let waiter = Waiter::Local(ticket);
         match request.kind {
             RequestKind::Submit(submission) => {
-                self.admit(moment, waiter, submission, request.deadline, effects);
+                let deadline = request.deadline;
+                self.admit(
+                    moment,
+                    Arrival { waiter, submission, deadline, witness: None },
+                    effects,
+                );
             }
             RequestKind::Cancel => {
                 self.cancel_here(moment, waiter, &request.submission_id, effects);
@@ -142,8 +156,13 @@
             return;
         }
         let deadline = moment.now + Duration::from_millis(forward.submission.timeout_ms);
-        let waiter = Waiter::Remote(from, forward.ticket);
-        self.admit(moment, waiter, forward.submission, deadline, effects);
+        let request = Arrival {
+            waiter: Waiter::Remote(from, forward.ticket),
+            submission: forward.submission,
+            deadline,
+            witness: forward.is_witness.then_some(from.incarnation),
+        };
+        self.admit(moment, request, effects);
     }
 
     pub(super) fn send_not_owner(
@@ -170,6 +189,7 @@
         self.forwards.remove(&ticket);
         let on_the_way_ms = self.clock_ms(moment).saturating_sub(sent_ms + held_ms);
         let is_stale = u128::from(on_the_way_ms) >= MAX_REFUSAL_AGE.as_millis();
+        self.settle_witness(ticket, &answer);
         let answer = if answer.ran == Verdict::NotRun && is_stale {
             let message = "the refusal came late; the id may have been submitted again since";
             let retry_after_ms = answer.retry_after_ms;
@@ -183,18 +203,55 @@
 
     /// Admits submissions whose id is no longer held because of an earlier refusal.
     pub(super) fn admit_held(&mut self, moment: Moment, effects: &mut Vec<Effect>) {
-        let ready: Vec<(Instant, ParkedSubmission)> =
+        let ready: Vec<(Instant, Arrival)> =
             self.held.extract_if(.., |(until, _)| *until <= moment.now).collect();
-        for (_, parked) in ready {
-            let ParkedSubmission { waiter, submission, deadline } = parked;
-            if self.owned.contains_key(&slice_of(&submission.submission_id)) {
-                self.admit(moment, waiter, submission, deadline, effects);
+        for (_, arrival) in ready {
+            if self.owns(&arrival.submission.submission_id) {
+                self.admit(moment, arrival, effects);
             } else {
-                self.hand_on(moment, waiter, submission, deadline, effects);
+                self.hand_on(moment, arrival, effects);
             }
         }
     }
 
+    /// Remembers the id of a request that is sent to its owner, so that the owner need not ask
+    /// another entry to. Returns whether this entry can be counted on to tell of it.
+    fn witness(&mut self, moment: Moment, request: &ForwardedRequest) -> bool {
+        let RequestKind::Submit(submission) = &request.kind else { return false };
+        if self.known.get(&request.submission_id).is_some() {
+            return true;
+        }
+        if self.known.len() >= self.limits.max_ids {
+            return false;
+        }
+        let id = KnownId {
+            submission_id: request.submission_id.clone(),
+            digest: submission.digest(),
+            admitted_offset: self.view.next_offset,
+            age_ms: 0,
+            closing: None,
+            whereabouts: None,
+        };
+        self.known.remember(moment.now, id).is_binding = false;
+        true
+    }
+
+    /// Forgets the id of a refused request, unless the owner may count on this entry for another.
+    fn settle_witness(&mut self, ticket: Ticket, answer: &Answer) {
+        let submission_id = &answer.submission_id;
+        let Some(known) = self.known.get_mut(submission_id) else { return };
+        if answer.ran != Verdict::NotRun {
+            known.is_binding = true;
+        }
+        let is_binding = known.is_binding;
+        let mut others = self.forwards.iter();
+        let is_asked_again = others
+            .any(|(&other, request)| other != ticket && request.submission_id == *submission_id);
+        if !is_binding && !is_asked_again && !self.owns(submission_id) {
+            self.known.forget(submission_id);
+        }
+    }
+
     fn clock_ms(&self, moment: Moment) -> u64 {
         moment.now.saturating_duration_since(self.started).as_millis() as u64
     }
@@ -249,8 +306,12 @@
             if request.sent_to == Some(owner) {
                 request.resend_after *= 2;
             }
-            let sent_ms = self.clock_ms(moment);
-            let message = request.message(moment.now, sent_ms, self.view.epoch, ticket);
+            let stamp = ForwardStamp {
+                epoch: self.view.epoch,
+                sent_ms: self.clock_ms(moment),
+                is_witness: self.witness(moment, &request),
+            };
+            let message = request.message(moment.now, stamp, ticket);
             effects.push(Effect::send(owner, message));
         }
         request.sent_to = owner;
@@ -261,6 +322,9 @@
     /// Another attempt at the same id may be running, so nothing is claimed about it.
     fn give_up_forward(&mut self, ticket: Ticket, effects: &mut Vec<Effect>) {
         let Some(request) = self.forwards.remove(&ticket) else { return };
+        if let Some(known) = self.known.get_mut(&request.submission_id) {
+            known.is_binding = true;
+        }
         let retry_after_ms = self.limits.silence.as_millis() as u64;
         let answer = Answer::unknown(
             request.submission_id,
--- a/crates/bulrushlatch_core/src/process/shard/mod.rs
+++ b/crates/bulrushlatch_core/src/process/shard/mod.rs
@@ -29,7 +29,7 @@
 
 use self::{
     forwarding::ForwardedRequest,
-    ownership::{OwnedSlice, ParkedSubmission},
+    ownership::{Arrival, OwnedSlice},
 };
 use crate::{
     connection::{
@@ -55,6 +55,8 @@
 pub struct SharedTables {
     agents: Mutex<AgentTable>,
     quotas: Mutex<QuotaTable>,
+    /// Until when no other entry can serve what this one owns.
+    lease_until: Mutex<Option<Instant>>,
 }
 
 impl SharedTables {
@@ -63,6 +65,17 @@
         self.agents.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes until when no other entry can serve what this one owns.
+    pub fn set_lease(&self, until: Option<Instant>) {
+        *self.lease_until.lock().unwrap_or_else(PoisonError::into_inner) = until;
+    }
+
+    /// Returns whether no other entry can serve what this one owns.
+    pub fn has_lease(&self, now: Instant) -> bool {
+        let until = self.lease_until.lock().unwrap_or_else(PoisonError::into_inner);
+        until.is_some_and(|until| now < until)
+    }
+
     /// Locks the quotas.
     pub fn quotas(&self) -> MutexGuard<'_, QuotaTable> {
         self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
@@ -145,7 +158,7 @@
     forwards: BTreeMap<Ticket, ForwardedRequest>,
     remote: RemoteRequests,
     /// Submissions that wait until a refusal of the same id is no longer on its way.
-    held: Vec<(Instant, ParkedSubmission)>,
+    held: Vec<(Instant, Arrival)>,
     queue: FairQueue,
     run_times: RunTimes,
     rule: P,
@@ -159,6 +172,8 @@
     counters: ShardCounters,
 }
 
+/// Advice on when to come back to an entry that has no lease.
+const RETRY_WITHOUT_LEASE_MS: u64 = 1000;
 /// Time between looks at everything that may need to be sent again.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -338,6 +353,7 @@
     }
 
     fn reply(&mut self, moment: Moment, waiter: Waiter, answer: Answer, effects: &mut Vec<Effect>) {
+        let answer = self.qualified(moment, answer);
         match waiter {
             Waiter::Local(ticket) => self.answer_local(ticket, answer, effects),
             Waiter::Remote(to, ticket) => {
@@ -352,6 +368,17 @@
         }
     }
 
+    /// Without a lease another entry may have started what this one knows nothing of.
+    fn qualified(&self, moment: Moment, answer: Answer) -> Answer {
+        if answer.ran != Verdict::NotRun || self.tables.has_lease(moment.now) {
+            return answer;
+        }
+        let message = "nothing was started here, but this entry may have been replaced";
+        let retry_after_ms = answer.retry_after_ms.or(Some(RETRY_WITHOUT_LEASE_MS));
+        let reason = answer.reason.unwrap_or(Reason::OwnerUnreachable);
+        Answer::unknown(answer.submission_id, reason, message, retry_after_ms)
+    }
+
     fn answer_local(&mut self, ticket: Ticket, answer: Answer, effects: &mut Vec<Effect>) {
         *self.counters.answers.entry(answer.state).or_default() += 1;
         if let Some(reason) = answer.reason.filter(|_| answer.state == AnswerState::Refused) {
--- a/crates/bulrushlatch_core/src/process/shard/ownership.rs
+++ b/crates/bulrushlatch_core/src/process/shard/ownership.rs
@@ -51,7 +51,7 @@
     /// When the others were last asked.
     pub last_sent: Instant,
     /// Submissions that arrived before the slice was ready.
-    pub parked: Vec<ParkedSubmission>,
+    pub parked: Vec<Arrival>,
     /// Ids that have no holder but this entry among the members.
     pub unpaired: BTreeSet<SubmissionId>,
     /// When unpaired ids were last sent, and how often.
@@ -62,15 +62,17 @@
     pub told_sealed: Epoch,
 }
 
-/// A submission that arrived before its slice was ready.
+/// A submission that arrived at its owner.
 #[derive(Clone, Debug)]
-pub struct ParkedSubmission {
+pub struct Arrival {
     /// The waiting caller.
     pub waiter: Waiter,
     /// The submission.
     pub submission: Arc<Submission>,
     /// When it is given up.
     pub deadline: Instant,
+    /// Entry that remembers the id.
+    pub witness: Option<Incarnation>,
 }
 
 impl OwnedSlice {
@@ -197,7 +199,9 @@
                 continue;
             }
             accepted.push(id.submission_id.clone());
-            self.known.remember(moment.now, id).holders.insert(from.incarnation);
+            let known = self.known.remember(moment.now, id);
+            known.holders.insert(from.incarnation);
+            known.is_binding = true;
         }
         if !accepted.is_empty() {
             let ack = NoteAck { epoch: note.epoch, accepted };
@@ -267,7 +271,7 @@
         for slice in &lost {
             let parked = self.owned.remove(slice).map(|owned| owned.parked).unwrap_or_default();
             for parked in parked {
-                self.hand_on(moment, parked.waiter, parked.submission, parked.deadline, effects);
+                self.hand_on(moment, parked, effects);
             }
         }
         let jobs = self.jobs.keys().filter(|id| lost.contains(&slice_of(id)));
@@ -293,19 +297,14 @@
         }
         for waiter in std::mem::take(&mut job.waiters) {
             let submission = Arc::clone(&job.submission);
-            self.hand_on(moment, waiter, submission, job.deadline, effects);
+            let deadline = job.deadline;
+            self.hand_on(moment, Arrival { waiter, submission, deadline, witness: None }, effects);
         }
     }
 
     /// Sends a waiting caller to the next owner.
-    pub(super) fn hand_on(
-        &mut self,
-        moment: Moment,
-        waiter: Waiter,
-        submission: Arc<Submission>,
-        deadline: Instant,
-        effects: &mut Vec<Effect>,
-    ) {
+    pub(super) fn hand_on(&mut self, moment: Moment, arrival: Arrival, effects: &mut Vec<Effect>) {
+        let Arrival { waiter, submission, deadline, .. } = arrival;
         match waiter {
             Waiter::Local(ticket) => {
                 let request = super::ForwardedRequest::submit(submission, deadline);
@@ -413,15 +412,15 @@
         }
         let has_all_answers = owned.asked.iter().all(|to| owned.repliers.contains(&to.incarnation));
         let waited = moment.now.saturating_duration_since(owned.since);
-        owned.knows_all_ids = knows_all && (has_all_answers || waited >= self.limits.resend);
-        owned.stopped_waiting |= waited >= self.limits.recovery_wait;
+        // Who is still a member but does not answer may hold a lease for as long as this.
+        let has_waited = waited >= self.limits.recovery_wait;
+        owned.knows_all_ids = knows_all && (has_all_answers || has_waited);
+        owned.stopped_waiting |= has_waited;
         if !owned.is_ready() {
             return;
         }
-        let parked = std::mem::take(&mut owned.parked);
-        for parked in parked {
-            let ParkedSubmission { waiter, submission, deadline } = parked;
-            self.admit(moment, waiter, submission, deadline, effects);
+        for parked in std::mem::take(&mut owned.parked) {
+            self.admit(moment, parked, effects);
         }
     }
 
--- a/crates/bulrushlatch_core/src/process/shard/recovery.rs
+++ b/crates/bulrushlatch_core/src/process/shard/recovery.rs
@@ -193,7 +193,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(job) = self.take_job(submission_id) else { return };
-        self.admit_new(moment, job.waiters, job.submission, job.deadline, effects);
+        self.admit_new(moment, job.waiters, job.submission, job.deadline, None, effects);
     }
 
     fn resume(&mut self, moment: Moment, submission_id: &SubmissionId, effects: &mut Vec<Effect>) {
--- a/crates/bulrushlatch_core/src/request/known.rs
+++ b/crates/bulrushlatch_core/src/request/known.rs
@@ -47,6 +47,8 @@
     pub since: Instant,
     /// Other entries that remember it.
     pub holders: BTreeSet<Incarnation>,
+    /// Whether the id must be kept although a request for it was refused.
+    pub is_binding: bool,
     /// What this entry tells the one that took the submission over from it.
     pub released: Option<Released>,
 }
@@ -97,7 +99,7 @@
             let since = now.checked_sub(Duration::from_millis(id.age_ms)).unwrap_or(now);
             order.push_back((now, id.submission_id.clone()));
             let id = KnownId { whereabouts: None, ..id.clone() };
-            KnownEntry { id, since, holders: BTreeSet::new(), released: None }
+            KnownEntry { id, since, holders: BTreeSet::new(), is_binding: true, released: None }
         });
         entry.id.admitted_offset = entry.id.admitted_offset.min(id.admitted_offset);
         if entry.id.closing.is_none() {
