--- a/crates/bulrushlatch_entry/src/process.rs
+++ b/crates/bulrushlatch_entry/src/process.rs
@@ -9,7 +9,7 @@
 
 use bulrushlatch_core::{
     clock::SystemClock,
-    connection::placement::MostFree,
+    connection::placement::ZoneFirst,
     effect::Effect,
     message::Envelope,
     process::{entry::Entry, membership::EntryIdentity},
@@ -46,7 +46,7 @@
 const LINGER: Duration = Duration::from_millis(1500);
 
 /// The decisions as the entry runs them.
-pub type RunningEntry = Entry<SystemClock, MostFree>;
+pub type RunningEntry = Entry<SystemClock, ZoneFirst>;
 
 /// A running entry.
 pub struct EntryProcess {
@@ -312,7 +312,7 @@
         address,
         zone: settings.zone.clone(),
     };
-    let rules = (0..settings.shards).map(|_| MostFree::new(fastrand::u64(..)));
+    let rules = (0..settings.shards).map(|_| ZoneFirst::new(fastrand::u64(..)));
     let limits = Arc::new(settings.limits.clone());
     Entry::new(SystemClock, identity, limits, settings.peers.clone(), rules.collect())
 }
