Refuse at once what would use more than half of its time to wait

Cause: the estimate of the wait knows only the sum of queued work, not the order by deadline, so under 150% load jobs with long deadlines were admitted, overtaken and given up after parts of them had run.

--- a/crates/bulrushlatch_core/src/process/shard/admission.rs
+++ b/crates/bulrushlatch_core/src/process/shard/admission.rs
@@ -26,6 +26,9 @@
 /// Shortest and longest advice on when to come back.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (100, 30_000);
 
+/// Factor by which the true wait may exceed the estimate, which knows no order of tasks.
+const WAIT_MARGIN: u64 = 2;
+
 /// Why a submission is refused, and when it may come back.
 struct Refusal {
     reason: Reason,
@@ -237,7 +240,7 @@
             expected.fold((0, 0), |(longest, work), (run, cost)| (longest.max(run), work + cost));
         let needed_ms = wait_ms + longest_ms.max(work_slot_ms / own_slots);
         let time_left_ms = deadline.saturating_duration_since(moment.now).as_millis() as u64;
-        if needed_ms > time_left_ms && wait_ms > 0 {
+        if needed_ms * WAIT_MARGIN > time_left_ms && wait_ms > 0 {
             let message = format!("about {needed_ms} ms are needed at the current load");
             return refuse_for_now(Reason::DeadlineUnreachable, message, wait_ms);
         }
