--- a/crates/bulrushlatch_bin/src/bin/bulrush-lab.rs
+++ b/crates/bulrushlatch_bin/src/bin/bulrush-lab.rs
@@ -3,8 +3,12 @@
 use std::{net::SocketAddr, process::ExitCode, sync::atomic::Ordering, time::Duration};
 
 use bulrushlatch_lab::{
+    capacity::{
+        slopes,
+        table::{self, PlannedSize},
+    },
     demo,
-    flags::{Bench, BulrushLab, BulrushLabCmd, Load, Log, Policy, Target},
+    flags::{Bench, BulrushLab, BulrushLabCmd, Capacity, Load, Log, Policy, Target},
     load::{
         report::LoadFigures,
         run::{self, LoadPlan},
@@ -34,6 +38,7 @@
         BulrushLabCmd::Load(flags) => put_load(&flags),
         BulrushLabCmd::Bench(flags) => bench(&flags),
         BulrushLabCmd::Policy(flags) => compare_policies(&flags),
+        BulrushLabCmd::Capacity(flags) => print_capacity(&flags),
         BulrushLabCmd::Demo(_) => demo::run(),
     };
     match result {
@@ -144,6 +149,23 @@
     Ok(())
 }
 
+fn print_capacity(flags: &Capacity) -> Result<(), String> {
+    let slopes = slopes::measure().map_err(|error| error.to_string())?;
+    let defaults = PlannedSize::default();
+    let size = PlannedSize {
+        entries: flags.entries.unwrap_or(defaults.entries),
+        entries_per_agent: flags.entries_per_agent.unwrap_or(defaults.entries_per_agent),
+        heartbeat_s: flags.heartbeat_s.unwrap_or(defaults.heartbeat_s),
+        ..defaults
+    };
+    println!("{}", serde_json::to_string_pretty(&slopes).unwrap_or_default());
+    for line in table::lines(&slopes, &size) {
+        let bound = line.bound.map_or(String::new(), |bound| format!(" (bound {bound})"));
+        println!("{:<44} {:>12.3} {}{bound}", line.what, line.value, line.unit);
+    }
+    Ok(())
+}
+
 /// Returns the messages and the calls that all processes have sent.
 fn sent(site: &Site) -> (u64, u64) {
     let entries = site.entries.iter().map(|entry| entry.process.outbox().counters());
--- /dev/null
+++ b/crates/bulrushlatch_lab/src/capacity/slopes.rs
@@ -0,0 +1,304 @@
+//! Measuring the costs of single things.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bulrushlatch_core::{
+    connection::placement::ZoneFirst,
+    effect::Destination,
+    message::{
+        AgentDescription, AgentHeartbeat, AgentLoad, EntryHeartbeat, Envelope, Message, Placement,
+        TaskReportState,
+    },
+    process::task_memory::{AcceptedTask, TaskMemory},
+    request::known::{KnownId, KnownIds},
+    version::{
+        settings::SettingsTree,
+        stream::{Fold, StreamReader, record_body},
+        view::{OwnershipRecord, RegisteredAgent, View},
+    },
+};
+use bulrushlatch_protocol::change::{Change, SettingKey};
+use bulrushlatch_runtime::{
+    outbox::Outbox,
+    peer_api::{PeerListener, Receiver},
+};
+use crossbeam::channel::{Sender, unbounded};
+use serde::Serialize;
+
+use crate::{
+    load::workload::Workload,
+    policy::{
+        comparison::deployment_of,
+        virtual_site::{FirstTarget, VirtualSite},
+    },
+};
+
+/// Things that are kept in memory to measure one of them.
+const KEPT: usize = 100_000;
+/// Messages that are sent to measure one of them.
+const SENT: u64 = 20_000;
+/// Virtual time of load to measure one task.
+const LOAD: Duration = Duration::from_secs(60);
+/// Longest wait for one message.
+const LONGEST_CALL: Duration = Duration::from_secs(5);
+/// Clock ticks in a second, in `/proc`.
+const TICKS_PER_SECOND: f64 = 100.0;
+/// Bytes of a page, in `/proc`.
+const PAGE_BYTES: u64 = 4096;
+
+/// Costs of single things, as measured on this machine.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Slopes {
+    /// Memory of one id at its owner or witness.
+    pub known_id_bytes: f64,
+    /// Memory of one task that an agent remembers, without its result.
+    pub remembered_task_bytes: f64,
+    /// Decisions of entries for one task, its part of the job included.
+    pub entry_us_per_task: f64,
+    /// Decisions of the agent for one task.
+    pub agent_us_per_task: f64,
+    /// Processor time to send and receive one message in a call of its own, both sides.
+    pub call_us: f64,
+    /// Messages for submissions and tasks, for each task.
+    pub work_messages_per_task: f64,
+    /// A heartbeat of an agent in its envelope.
+    pub agent_heartbeat_bytes: u64,
+    /// A heartbeat of an entry in its envelope.
+    pub entry_heartbeat_bytes: u64,
+    /// A record of the settings stream.
+    pub settings_record_bytes: u64,
+    /// Processor time to fold one record of the settings stream.
+    pub settings_fold_us: f64,
+    /// One more setting, with its audit entry and change id, in a snapshot.
+    pub snapshot_bytes_per_setting: f64,
+    /// One more agent in the membership view.
+    pub view_bytes_per_agent: f64,
+    /// A record of an agent that joins.
+    pub agent_record_bytes: u64,
+}
+
+/// Measures everything.
+///
+/// # Errors
+///
+/// Returns an error when a listener on loopback cannot be opened.
+pub fn measure() -> std::io::Result<Slopes> {
+    let mut slopes = Slopes {
+        known_id_bytes: known_id_bytes(),
+        remembered_task_bytes: remembered_task_bytes(),
+        agent_heartbeat_bytes: json_bytes(&envelope(Message::AgentHeartbeat(agent_heartbeat()))),
+        entry_heartbeat_bytes: json_bytes(&envelope(Message::EntryHeartbeat(entry_heartbeat()))),
+        agent_record_bytes: record_body::<View>(&agent_record()).len() as u64,
+        call_us: call_us()?,
+        ..Slopes::default()
+    };
+    measure_settings(&mut slopes);
+    measure_view(&mut slopes);
+    measure_tasks(&mut slopes);
+    Ok(slopes)
+}
+
+fn known_id_bytes() -> f64 {
+    let before = resident_bytes();
+    let now = Instant::now();
+    let mut known = KnownIds::default();
+    for number in 0..KEPT {
+        let id = KnownId {
+            submission_id: format!("01a3185c-8324-7000-8000-{number:012x}").into(),
+            digest: number as u64,
+            admitted_offset: 0,
+            age_ms: 0,
+            closing: None,
+            whereabouts: None,
+        };
+        known.remember(now, id).holders.insert(1);
+    }
+    let bytes = (resident_bytes() - before) as f64 / known.len() as f64;
+    // Freed memory would be used again by the next measurement.
+    std::mem::forget(known);
+    bytes
+}
+
+fn remembered_task_bytes() -> f64 {
+    let before = resident_bytes();
+    let now = Instant::now();
+    let mut memory = TaskMemory::default();
+    for number in 0..KEPT {
+        let submission_id = format!("01a3185c-8324-7000-8000-{:012x}", number / 3).into();
+        let index = (number % 3) as u32;
+        let placement = Placement { submission_id, index, epoch: 1, attempt: number as u64 };
+        memory.accept(now, AcceptedTask { placement, state: TaskReportState::Accepted, slots: 1 });
+    }
+    let bytes = (resident_bytes() - before) as f64 / memory.len() as f64;
+    std::mem::forget(memory);
+    bytes
+}
+
+fn measure_settings(slopes: &mut Slopes) {
+    let mut tree = SettingsTree::default();
+    let mut bodies = Vec::new();
+    for number in 0..2000 {
+        let change = Change {
+            change_id: format!("01a3185c-8324-7000-8000-{number:012x}"),
+            team: "operators".into(),
+            author: "ana.gomez".to_owned(),
+            path: format!("team-{}/service-{}", number % 120, number / 120),
+            key: SettingKey::Weight,
+            value: Some(number.into()),
+            expected_version: 0,
+            reason: "more work is expected from the coast".to_owned(),
+            published_at_ms: 1_800_000_000_000,
+        };
+        bodies.push(record_body::<SettingsTree>(&change));
+        tree.apply(number, change);
+    }
+    slopes.settings_record_bytes = bodies[1000].len() as u64;
+    slopes.snapshot_bytes_per_setting = json_bytes(&tree) as f64 / bodies.len() as f64;
+    let log = bulrushlatch_log::memory_log::MemoryLog::default();
+    use bulrushlatch_log::platform_log::{PlatformLog, StreamName};
+    for body in &bodies {
+        // The log of a measurement is always up.
+        let _ = log.append(StreamName::Settings, body);
+    }
+    let Ok(page) = log.read(StreamName::Settings, 0, bodies.len()) else { return };
+    let mut reader = StreamReader::<SettingsTree>::default();
+    let begun = Instant::now();
+    reader.fold(&page);
+    slopes.settings_fold_us = begun.elapsed().as_secs_f64() * 1e6 / bodies.len() as f64;
+}
+
+fn measure_view(slopes: &mut Slopes) {
+    let mut view = View::default();
+    let empty_bytes = json_bytes(&view);
+    for number in 0..1000 {
+        let description = agent_heartbeat().agent;
+        view.agents.insert(u64::MAX - number, RegisteredAgent { description });
+    }
+    slopes.view_bytes_per_agent = (json_bytes(&view) - empty_bytes) as f64 / 1000.0;
+}
+
+fn measure_tasks(slopes: &mut Slopes) {
+    let workload = Workload::Marea;
+    let deployment = deployment_of(workload);
+    let (team, service) = (workload.team(), workload.service());
+    let mut site = VirtualSite::new(deployment, team, service, FirstTarget::Normal, ZoneFirst::new);
+    let ready = Duration::from_secs(3);
+    site.run_until(ready);
+    let messages_before = site.messages.work;
+    let (entry_before, agent_before) = (site.entry_time, site.agent_time);
+    let idle_until = ready + LOAD;
+    site.run_until(idle_until);
+    let (entry_idle, agent_idle) = (site.entry_time - entry_before, site.agent_time - agent_before);
+    let (entry_before, agent_before) = (site.entry_time, site.agent_time);
+    let mut random = fastrand::Rng::with_seed(1);
+    let mut tasks = 0;
+    let jobs = 40 * LOAD.as_secs();
+    for ticket in 0..jobs {
+        let planned = workload.plan(&mut random, &format!("job-{ticket}"));
+        tasks += planned.submission.tasks.len();
+        let at = idle_until + LOAD.mul_f64(ticket as f64 / jobs as f64);
+        site.submit_at(at, random.usize(..3), ticket + 1, planned.submission);
+    }
+    site.run_until(idle_until + LOAD);
+    let tasks = tasks as f64;
+    let entry_time = site.entry_time.saturating_sub(entry_before + entry_idle);
+    let agent_time = site.agent_time.saturating_sub(agent_before + agent_idle);
+    slopes.entry_us_per_task = entry_time.as_secs_f64() * 1e6 / tasks;
+    slopes.agent_us_per_task = agent_time.as_secs_f64() * 1e6 / tasks;
+    slopes.work_messages_per_task = (site.messages.work - messages_before) as f64 / tasks;
+}
+
+struct CountingReceiver {
+    arrived: Sender<usize>,
+}
+
+impl Receiver for CountingReceiver {
+    fn receive(&self, envelope: Envelope) {
+        // The measurement may be over.
+        let _ = self.arrived.send(envelope.messages.len());
+    }
+}
+
+fn call_us() -> std::io::Result<f64> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = runtime.block_on(PeerListener::bind(any_port))?;
+    let address = listener.address();
+    let (arrived, arrivals) = unbounded();
+    let receiver = Arc::new(CountingReceiver { arrived });
+    let _server = {
+        let _guard = runtime.enter();
+        listener.serve(Arc::clone(&receiver))?
+    };
+    let outbox = Outbox::new(runtime.handle().clone(), any_port);
+    let to = Destination { address, incarnation: 1 };
+    let cpu_before = processor_seconds();
+    for _ in 0..SENT {
+        outbox.send(1, to, Message::AgentHeartbeat(agent_heartbeat()));
+        // One at a time, so that every message takes a call of its own.
+        if arrivals.recv_timeout(LONGEST_CALL).is_err() {
+            return Err(std::io::Error::other("a message was lost on loopback"));
+        }
+    }
+    Ok((processor_seconds() - cpu_before) * 1e6 / SENT as f64)
+}
+
+fn agent_heartbeat() -> AgentHeartbeat {
+    AgentHeartbeat {
+        agent: AgentDescription {
+            name: "agent-1234".into(),
+            address: SocketAddr::from(([10, 20, 30, 40], 50000)),
+            zone: "zone-10".into(),
+            service: "listing".into(),
+            slots: 8,
+            formers: Vec::new(),
+        },
+        load: AgentLoad { busy_slots: 4, leaving: false, stamp_ms: 123_456_789 },
+        settings_offset: 123_456,
+        ownership_offset: 123_456,
+    }
+}
+
+fn entry_heartbeat() -> EntryHeartbeat {
+    EntryHeartbeat {
+        ownership_offset: 123_456,
+        settings_offset: 123_456,
+        silent_agents: Vec::new(),
+        sent_ms: 123_456_789,
+        echo_ms: Some(123_456_789),
+    }
+}
+
+fn agent_record() -> OwnershipRecord {
+    let description = agent_heartbeat().agent;
+    OwnershipRecord::AgentJoined { incarnation: u64::MAX, description, at_ms: 1_800_000_000_000 }
+}
+
+fn envelope(message: Message) -> Envelope {
+    let from_address = SocketAddr::from(([10, 20, 30, 40], 50000));
+    Envelope { from: u64::MAX, from_address, to: u64::MAX, messages: vec![message] }
+}
+
+fn json_bytes<T: Serialize>(value: &T) -> u64 {
+    serde_json::to_string(value).map_or(0, |text| text.len() as u64)
+}
+
+/// Returns the resident memory of this process.
+fn resident_bytes() -> u64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
+/// Returns the processor time that this process has used.
+fn processor_seconds() -> f64 {
+    let text = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields = text.rsplit(')').next().unwrap_or_default().split_whitespace();
+    let ticks = fields.skip(11).take(2).filter_map(|ticks| ticks.parse::<f64>().ok());
+    ticks.sum::<f64>() / TICKS_PER_SECOND
+}
--- /dev/null
+++ b/crates/bulrushlatch_lab/src/capacity/table.rs
@@ -0,0 +1,159 @@
+//! The costs of each role at a given size.
+
+use super::slopes::Slopes;
+
+/// The size to design for.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannedSize {
+    /// Workers, each with an agent.
+    pub workers: f64,
+    /// Task starts a second at the peak.
+    pub starts_per_second: f64,
+    /// Average tasks of a job.
+    pub tasks_per_job: f64,
+    /// Entries in the whole fleet.
+    pub entries: f64,
+    /// Entries that one agent sends heartbeats to.
+    pub entries_per_agent: f64,
+    /// Time between heartbeats in seconds.
+    pub heartbeat_s: f64,
+    /// Time for which ids are kept in seconds.
+    pub id_window_s: f64,
+    /// Longest timeout of a submission in seconds.
+    pub longest_timeout_s: f64,
+    /// Changes of configuration a day.
+    pub changes_per_day: f64,
+    /// Settings in the tree.
+    pub settings: f64,
+    /// Processes that fail, restart or are replaced in a day.
+    pub restarts_per_day: f64,
+}
+
+/// Seconds in a day.
+const DAY_S: f64 = 86_400.0;
+
+impl Default for PlannedSize {
+    fn default() -> Self {
+        Self {
+            workers: 2000.0,
+            starts_per_second: 59_000.0,
+            tasks_per_job: 20.0,
+            entries: 30.0,
+            entries_per_agent: 3.0,
+            heartbeat_s: 0.5,
+            id_window_s: 600.0,
+            longest_timeout_s: 600.0,
+            changes_per_day: 6900.0,
+            settings: 6000.0,
+            restarts_per_day: 450.0,
+        }
+    }
+}
+
+/// One line of the table.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// Role and resource.
+    pub what: &'static str,
+    /// Value at the planned size.
+    pub value: f64,
+    /// Unit of the value.
+    pub unit: &'static str,
+    /// Bound from the letter, if there is one.
+    pub bound: Option<f64>,
+}
+
+/// Works the table out.
+pub fn lines(slopes: &Slopes, size: &PlannedSize) -> Vec<Line> {
+    let half_call_us = slopes.call_us / 2.0;
+    let jobs_per_second = size.starts_per_second / size.tasks_per_job;
+    let ids_per_entry =
+        2.0 * jobs_per_second * (size.id_window_s + size.longest_timeout_s) / size.entries;
+    let agent_starts = size.starts_per_second / size.workers;
+    let agent_heartbeats = size.entries_per_agent / size.heartbeat_s;
+    let agent_work_us = agent_starts * (slopes.agent_us_per_task + 2.0 * half_call_us);
+    let tasks_kept = agent_starts * (2.0 * size.id_window_s + 600.0);
+    let entry_starts = size.starts_per_second / size.entries;
+    let entry_heartbeats = size.workers * size.entries_per_agent / size.entries / size.heartbeat_s
+        + 2.0 * (size.entries - 1.0) / size.heartbeat_s;
+    let entry_work_us =
+        entry_starts * (slopes.entry_us_per_task + slopes.work_messages_per_task * half_call_us);
+    let line = |what, value, unit, bound| Line { what, value, unit, bound };
+    vec![
+        line("agent: heartbeats", agent_heartbeats, "messages/s", None),
+        line(
+            "agent: control traffic",
+            agent_heartbeats * slopes.agent_heartbeat_bytes as f64,
+            "bytes/s",
+            Some(4096.0),
+        ),
+        line(
+            "agent: control processor time",
+            agent_heartbeats * half_call_us / 1e4,
+            "% of a core",
+            Some(2.4),
+        ),
+        line("agent: starts", agent_starts, "tasks/s", None),
+        line("agent: work processor time", agent_work_us / 1e4, "% of a core", None),
+        line("agent: tasks remembered", tasks_kept, "tasks", None),
+        line(
+            "agent: memory of tasks",
+            tasks_kept * slopes.remembered_task_bytes / 1e6,
+            "MB",
+            Some(256.0),
+        ),
+        line("entry: starts", entry_starts, "tasks/s", None),
+        line("entry: work processor time", entry_work_us / 1e4, "% of a core", None),
+        line("entry: heartbeats", entry_heartbeats, "messages/s", None),
+        line(
+            "entry: control processor time",
+            entry_heartbeats * half_call_us / 1e4,
+            "% of a core",
+            Some(2.4),
+        ),
+        line("entry: ids kept", ids_per_entry, "ids", None),
+        line(
+            "entry: memory of ids",
+            ids_per_entry * slopes.known_id_bytes / 1e6,
+            "MB",
+            Some(256.0),
+        ),
+        line(
+            "entry: membership view",
+            size.workers * slopes.view_bytes_per_agent / 1e6,
+            "MB",
+            None,
+        ),
+        line(
+            "entry: settings tree",
+            size.settings * slopes.snapshot_bytes_per_setting / 1e6,
+            "MB",
+            None,
+        ),
+        line(
+            "entry: folding of settings",
+            size.changes_per_day * slopes.settings_fold_us / DAY_S / 1e4,
+            "% of a core",
+            None,
+        ),
+        line("log: settings records", size.changes_per_day / DAY_S, "appends/s", Some(300.0)),
+        line(
+            "log: settings stream",
+            size.changes_per_day * slopes.settings_record_bytes as f64 / 1e6,
+            "MB/day",
+            None,
+        ),
+        line(
+            "log: ownership records",
+            2.0 * size.restarts_per_day / DAY_S,
+            "appends/s",
+            Some(300.0),
+        ),
+        line(
+            "log: ownership records when a zone returns",
+            size.workers / 10.0,
+            "appends at once",
+            Some(300.0),
+        ),
+    ]
+}
--- a/crates/bulrushlatch_lab/src/flags.rs
+++ b/crates/bulrushlatch_lab/src/flags.rs
@@ -66,6 +66,15 @@
             /// Seed of all random choices (default 1)
             optional --seed seed: u64
         }
+        /// Measure single costs and print the table of docs/CAPACITY.md
+        cmd capacity {
+            /// Entries in the whole fleet (default 30)
+            optional --entries count: f64
+            /// Entries that one agent sends heartbeats to (default 3)
+            optional --entries-per-agent count: f64
+            /// Time between heartbeats in seconds (default 0.5)
+            optional --heartbeat-s seconds: f64
+        }
         /// Run the whole path in one process and check the answers
         cmd demo {
         }
@@ -86,6 +95,7 @@
     Load(Load),
     Bench(Bench),
     Policy(Policy),
+    Capacity(Capacity),
     Demo(Demo),
 }
 
@@ -131,6 +141,13 @@
     pub seed: Option<u64>,
 }
 
+#[derive(Debug)]
+pub struct Capacity {
+    pub entries: Option<f64>,
+    pub entries_per_agent: Option<f64>,
+    pub heartbeat_s: Option<f64>,
+}
+
 #[derive(Debug)]
 pub struct Demo;
 
--- a/crates/bulrushlatch_lab/src/lib.rs
+++ b/crates/bulrushlatch_lab/src/lib.rs
@@ -3,10 +3,12 @@
 //! - [`flags`]: the command line
 //! - [`target`]: a target whose run times and faults can be chosen
 //! - [`site`]: a whole site in one process
+//! - [`capacity`]: costs of single things, and at the planned size
 //! - [`demo`]: the whole path, checked, by one command
 //! - [`load`]: an open-loop load with its report
 //! - [`policy`]: policies compared under a virtual clock
 
+pub mod capacity;
 pub mod demo;
 pub mod flags;
 pub mod load;
--- a/crates/bulrushlatch_lab/src/policy/virtual_site.rs
+++ b/crates/bulrushlatch_lab/src/policy/virtual_site.rs
@@ -1,6 +1,11 @@
 //! Entries, agents and links in virtual time, without faults of processes or links.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bulrushlatch_core::{
     clock::{Clock, VirtualClock},
@@ -112,6 +117,10 @@
     pub messages: MessageCount,
     /// Tasks started so far.
     pub started_tasks: u64,
+    /// Real time spent in the decisions of entries.
+    pub entry_time: Duration,
+    /// Real time spent in the decisions of agents.
+    pub agent_time: Duration,
     /// Answers that clients got and that were not taken yet.
     pub answers: Vec<ClientAnswer>,
 }
@@ -162,6 +171,8 @@
             next_event: 0,
             messages: MessageCount::default(),
             started_tasks: 0,
+            entry_time: Duration::ZERO,
+            agent_time: Duration::ZERO,
             answers: Vec::new(),
         };
         site.publish_team(team);
@@ -204,18 +215,24 @@
                 let mut effects = Vec::new();
                 let placement = &task.placement;
                 let (id, index) = (&placement.submission_id, placement.index);
+                let begun = Instant::now();
                 self.agents[agent].finish(now, id, index, outcome, &mut effects);
+                self.agent_time += begun.elapsed();
                 self.execute_for_agent(agent, effects);
             }
             Event::Submit(entry, ticket, submission) => {
                 let mut effects = Vec::new();
+                let begun = Instant::now();
                 self.entries[entry].submit(ticket, *submission, &mut effects);
+                self.entry_time += begun.elapsed();
                 self.execute_for_entry(entry, effects);
             }
             Event::TickEntries => {
                 for index in 0..self.entries.len() {
                     let mut effects = Vec::new();
+                    let begun = Instant::now();
                     self.entries[index].tick(&mut effects);
+                    self.entry_time += begun.elapsed();
                     self.execute_for_entry(index, effects);
                 }
                 self.plan(self.now + ENTRY_TICK, Event::TickEntries);
@@ -224,7 +241,9 @@
                 let now = self.clock.now();
                 for index in 0..self.agents.len() {
                     let mut effects = Vec::new();
+                    let begun = Instant::now();
                     self.agents[index].tick(now, &mut effects);
+                    self.agent_time += begun.elapsed();
                     self.execute_for_agent(index, effects);
                 }
                 self.plan(self.now + AGENT_TICK, Event::TickAgents);
@@ -241,10 +260,14 @@
         let mut effects = Vec::new();
         let index = usize::from(to.port() % 1000);
         if to.port() < 2000 {
+            let begun = Instant::now();
             self.entries[index].receive(envelope, &mut effects);
+            self.entry_time += begun.elapsed();
             self.execute_for_entry(index, effects);
         } else {
+            let begun = Instant::now();
             self.agents[index].receive(now, envelope, &mut effects);
+            self.agent_time += begun.elapsed();
             self.execute_for_agent(index, effects);
         }
     }
