--- a/crates/bulrushlatch_bin/src/bin/bulrush-lab.rs
+++ b/crates/bulrushlatch_bin/src/bin/bulrush-lab.rs
@@ -16,6 +16,7 @@
     },
     policy::{
         comparison::{Condition, RuleName, compare},
+        failover,
         virtual_site::FirstTarget,
     },
     site::{Site, SiteShape},
@@ -39,6 +40,11 @@
         BulrushLabCmd::Bench(flags) => bench(&flags),
         BulrushLabCmd::Policy(flags) => compare_policies(&flags),
         BulrushLabCmd::Capacity(flags) => print_capacity(&flags),
+        BulrushLabCmd::Failover(flags) => {
+            let workload = workload(flags.workload.as_deref());
+            workload
+                .map(|workload| println!("{}", failover::run(workload, flags.seed.unwrap_or(1))))
+        }
         BulrushLabCmd::Demo(_) => demo::run(),
     };
     match result {
--- a/crates/bulrushlatch_lab/src/flags.rs
+++ b/crates/bulrushlatch_lab/src/flags.rs
@@ -66,6 +66,13 @@
             /// Seed of all random choices (default 1)
             optional --seed seed: u64
         }
+        /// Kill an entry under a virtual clock and print what callers met
+        cmd failover {
+            /// Deployment: marea or fairgo (default marea)
+            optional --workload name: String
+            /// Seed of all random choices (default 1)
+            optional --seed seed: u64
+        }
         /// Measure single costs and print the table of docs/CAPACITY.md
         cmd capacity {
             /// Entries in the whole fleet (default 30)
@@ -95,6 +102,7 @@
     Load(Load),
     Bench(Bench),
     Policy(Policy),
+    Failover(Failover),
     Capacity(Capacity),
     Demo(Demo),
 }
@@ -141,6 +149,12 @@
     pub seed: Option<u64>,
 }
 
+#[derive(Debug)]
+pub struct Failover {
+    pub workload: Option<String>,
+    pub seed: Option<u64>,
+}
+
 #[derive(Debug)]
 pub struct Capacity {
     pub entries: Option<f64>,
--- a/crates/bulrushlatch_lab/src/policy/virtual_site.rs
+++ b/crates/bulrushlatch_lab/src/policy/virtual_site.rs
@@ -107,7 +107,8 @@
     deployment: Deployment,
     clock: Arc<VirtualClock>,
     now: Duration,
-    entries: Vec<Entry<Arc<VirtualClock>, P>>,
+    /// The entries; nothing in place of one that was killed.
+    entries: Vec<Option<Entry<Arc<VirtualClock>, P>>>,
     agents: Vec<Agent>,
     log: MemoryLog,
     first_target: FirstTarget,
@@ -145,7 +146,8 @@
             };
             let limits = Arc::new(Limits::default());
             let rules = vec![rule(index as u64)];
-            Entry::new(Arc::clone(&clock), identity, limits, addresses.clone(), rules)
+            let entry = Entry::new(Arc::clone(&clock), identity, limits, addresses.clone(), rules);
+            Some(entry)
         });
         let agents = (0..deployment.agents).map(|index| {
             let description = AgentDescription {
@@ -194,6 +196,11 @@
         self.plan(at + CLIENT_DELAY, Event::Submit(entry, ticket, Box::new(submission)));
     }
 
+    /// Ends an entry at once; calls to it and its open calls are never answered.
+    pub fn kill_entry(&mut self, entry: usize) {
+        self.entries[entry] = None;
+    }
+
     /// Moves time on to `until`.
     pub fn run_until(&mut self, until: Duration) {
         while let Some((&key, _)) = self.events.first_key_value() {
@@ -221,19 +228,11 @@
                 self.execute_for_agent(agent, effects);
             }
             Event::Submit(entry, ticket, submission) => {
-                let mut effects = Vec::new();
-                let begun = Instant::now();
-                self.entries[entry].submit(ticket, *submission, &mut effects);
-                self.entry_time += begun.elapsed();
-                self.execute_for_entry(entry, effects);
+                self.act(entry, |entry, effects| entry.submit(ticket, *submission, effects));
             }
             Event::TickEntries => {
                 for index in 0..self.entries.len() {
-                    let mut effects = Vec::new();
-                    let begun = Instant::now();
-                    self.entries[index].tick(&mut effects);
-                    self.entry_time += begun.elapsed();
-                    self.execute_for_entry(index, effects);
+                    self.act(index, |entry, effects| entry.tick(effects));
                 }
                 self.plan(self.now + ENTRY_TICK, Event::TickEntries);
             }
@@ -260,10 +259,7 @@
         let mut effects = Vec::new();
         let index = usize::from(to.port() % 1000);
         if to.port() < 2000 {
-            let begun = Instant::now();
-            self.entries[index].receive(envelope, &mut effects);
-            self.entry_time += begun.elapsed();
-            self.execute_for_entry(index, effects);
+            self.act(index, |entry, effects| entry.receive(envelope, effects));
         } else {
             let begun = Instant::now();
             self.agents[index].receive(now, envelope, &mut effects);
@@ -272,8 +268,23 @@
         }
     }
 
+    /// Lets a living entry do something, and does what it asks for.
+    fn act(
+        &mut self,
+        index: usize,
+        action: impl FnOnce(&Entry<Arc<VirtualClock>, P>, &mut Vec<Effect>),
+    ) {
+        let Some(entry) = &self.entries[index] else { return };
+        let mut effects = Vec::new();
+        let begun = Instant::now();
+        action(entry, &mut effects);
+        self.entry_time += begun.elapsed();
+        self.execute_for_entry(index, effects);
+    }
+
     fn execute_for_entry(&mut self, index: usize, effects: Vec<Effect>) {
-        let from = self.entries[index].incarnation();
+        let Some(entry) = &self.entries[index] else { return };
+        let from = entry.incarnation();
         for effect in effects {
             match effect {
                 Effect::Send { to, message } => {
@@ -356,11 +367,11 @@
     fn read_log(&mut self) {
         for index in 0..self.entries.len() {
             for stream in [StreamName::Ownership, StreamName::Settings] {
-                let from = self.entries[index].next_offset(stream);
-                let Ok(page) = self.log.read(stream, from, 1000) else { continue };
-                let mut effects = Vec::new();
-                self.entries[index].fold(stream, &page, &mut effects);
-                self.execute_for_entry(index, effects);
+                let Some(entry) = &self.entries[index] else { continue };
+                let Ok(page) = self.log.read(stream, entry.next_offset(stream), 1000) else {
+                    continue;
+                };
+                self.act(index, |entry, effects| entry.fold(stream, &page, effects));
             }
         }
     }
