Wait for submissions to arrive before draining in the process test

Seen: leaving_entry_and_agent_cut_nothing_off failed once. Cause: on a machine that was held up, a caller's thread sent its submission only after the 200 ms that the test waited, and met an entry that was shutting down, which is answered 'unknown' as it should be. Ruled out: a cut-off request; none had arrived. The test now waits until every id is known to its owner; what it checks is the same.

--- a/crates/bulrushlatch_bin/tests/support/mod.rs
+++ b/crates/bulrushlatch_bin/tests/support/mod.rs
@@ -184,6 +184,13 @@
         response.json().expect("the reply is JSON")
     }
 
+    /// Returns whether a submission has arrived at its owner.
+    pub fn knows(&self, submission_id: &str) -> bool {
+        let path = format!("/v1/submissions/{submission_id}");
+        let state = get_json(self.entries[1].address, &path).map(|answer| answer["state"].clone());
+        state.is_some_and(|state| state == "running" || state == "complete")
+    }
+
     /// Sets how the log treats calls.
     pub fn set_log_mode(&self, mode: &str) {
         let url = format!("http://{}/v1/mode/{mode}", self.log.address);
--- a/crates/bulrushlatch_bin/tests/whole_path.rs
+++ b/crates/bulrushlatch_bin/tests/whole_path.rs
@@ -62,7 +62,7 @@
     let jobs: Vec<_> = (0..9).map(|n| submission(&format!("drain-{n}"), 3, 700, 20_000)).collect();
     let waiting: Vec<_> =
         jobs.iter().enumerate().map(|(n, job)| site.submit_later(n % 3, job)).collect();
-    std::thread::sleep(Duration::from_millis(200));
+    site.wait_until(|site| (0..9).all(|n| site.knows(&format!("drain-{n}"))));
     site.entries[0].terminate();
     site.agents[0].terminate();
     for (n, answer) in waiting.into_iter().enumerate() {
