Process tests: take ports from the programs, new ids for each question

Seen: settings_take_effect_without_a_restart failed in 7 of 20 runs, and an_entry_that_starts_during_a_log_outage_gets_its_state_from_a_peer once. Causes: the first submitted one id until it was refused, but an id that had run before the entry read of the change keeps its answer (trace: 'complete' 551 times, 'refused' never); each question has a new id now, and eight of them must be refused, and later served, in a row. For the second, ports were drawn by binding and letting go, which another test could take; programs now bind port 0 and say where they listen.

--- a/crates/bulrushlatch_bin/tests/support/mod.rs
+++ b/crates/bulrushlatch_bin/tests/support/mod.rs
@@ -4,7 +4,7 @@
 
 use std::{
     io::{BufRead, BufReader},
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     process::{Child, Command, Output, Stdio},
     thread,
     time::{Duration, Instant},
@@ -21,14 +21,32 @@
     child: Child,
     /// Where callers reach it, if it serves any.
     pub address: SocketAddr,
+    /// Where other processes reach it, if they do.
+    peers: SocketAddr,
 }
 
 impl Program {
     fn spawn(name: &str, arguments: &[String], address: SocketAddr) -> Self {
         let mut command = Command::new(program_path(name));
-        command.args(arguments).stdout(Stdio::piped()).stderr(Stdio::null());
+        command.args(arguments).stdout(Stdio::piped()).stderr(Stdio::piped());
         let child = command.spawn().expect("the program starts");
-        Self { child, address }
+        Self { child, address, peers: address }
+    }
+
+    /// Waits for the log line that names the addresses of a program, and takes them from it.
+    fn read_addresses(&mut self) {
+        let output = self.child.stderr.take().expect("the output is piped");
+        let mut lines = BufReader::new(output).lines();
+        let started = lines.by_ref().map_while(Result::ok).find(|line| line.contains(" started "));
+        let started = started.expect("the program says that it started");
+        let value = |name: &str| {
+            let value = started.split(name).nth(1)?.split_whitespace().next()?;
+            value.parse().ok()
+        };
+        self.peers = value("peers=").expect("the line has the address for processes");
+        self.address = value("callers=").unwrap_or(self.address);
+        // A program must not block on a pipe that nobody reads.
+        thread::spawn(move || lines.map_while(Result::ok).for_each(drop));
     }
 
     /// Ends the program at once.
@@ -89,20 +107,13 @@
     pub agents: Vec<Program>,
     /// The target stand-ins, in the order of the agents.
     pub targets: Vec<Program>,
-    peers: Vec<SocketAddr>,
 }
 
 impl ProgramSite {
     /// Starts a site and waits until it serves.
     pub fn start(entries: usize, agents: usize) -> Self {
         let log = start_lab("log");
-        let mut site = Self {
-            log,
-            entries: Vec::new(),
-            agents: Vec::new(),
-            targets: Vec::new(),
-            peers: (0..entries).map(|_| free_address()).collect(),
-        };
+        let mut site = Self { log, entries: Vec::new(), agents: Vec::new(), targets: Vec::new() };
         for index in 0..entries {
             let entry = site.spawn_entry(index);
             site.entries.push(entry);
@@ -126,30 +137,35 @@
 
     /// Starts an entry under the name of `index`.
     pub fn spawn_entry(&self, index: usize) -> Program {
-        let callers = free_address();
-        let peers: Vec<String> = self.peers.iter().map(SocketAddr::to_string).collect();
         let arguments = [
             ("--name", format!("entry-{index}")),
             ("--zone", format!("zone-{index}")),
-            ("--caller-listen", callers.to_string()),
-            ("--peer-listen", self.peers[index].to_string()),
             ("--log-url", format!("http://{}", self.log.address)),
-            ("--peers", peers.join(",")),
+            ("--peers", self.entry_peers()),
         ];
-        Program::spawn("bulrush-entry", &flat(&arguments), callers)
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut entry = Program::spawn("bulrush-entry", &flat(&arguments), any_port);
+        entry.read_addresses();
+        entry
     }
 
     /// Starts an agent under the name of `index` for a target.
     pub fn spawn_agent(&self, index: usize, target: SocketAddr) -> Program {
-        let peers: Vec<String> = self.peers.iter().map(SocketAddr::to_string).collect();
         let arguments = [
             ("--name", format!("agent-{index}")),
             ("--zone", format!("zone-{index}")),
             ("--service", "listing".to_owned()),
             ("--target-url", format!("http://{target}")),
-            ("--entries", peers.join(",")),
+            ("--entries", self.entry_peers()),
         ];
-        Program::spawn("bulrush-agent", &flat(&arguments), target)
+        let mut agent = Program::spawn("bulrush-agent", &flat(&arguments), target);
+        agent.read_addresses();
+        agent
+    }
+
+    fn entry_peers(&self) -> String {
+        let peers: Vec<String> = self.entries.iter().map(|entry| entry.peers.to_string()).collect();
+        peers.join(",")
     }
 
     /// Submits at an entry and returns the answer.
@@ -208,6 +224,7 @@
     }
 
     /// Waits until a condition holds.
+    #[track_caller]
     pub fn wait_until(&self, is_reached: impl Fn(&Self) -> bool) {
         let begun = Instant::now();
         while !is_reached(self) {
@@ -287,11 +304,6 @@
     program
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("a bound listener has an address")
-}
-
 fn flat(pairs: &[(&str, String)]) -> Vec<String> {
     pairs.iter().flat_map(|(flag, value)| [(*flag).to_owned(), value.clone()]).collect()
 }
--- a/crates/bulrushlatch_bin/tests/surface.rs
+++ b/crates/bulrushlatch_bin/tests/surface.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
 
 use bulrushlatch_protocol::{
     answer::{Answer, AnswerState, Reason},
@@ -57,13 +60,20 @@
     assert_eq!(off["outcome"]["accepted"], 1);
     let again = site.publish("off", "marea", "marea/listing", "enabled", &json!(false), 0);
     assert_eq!(again["outcome"]["accepted"], 1, "a change id takes effect once");
+    // An id that ran before an entry had read of the change keeps its answer, so each is new.
+    let numbers = AtomicU32::new(0);
+    let submit_new = |site: &ProgramSite, entry: usize| {
+        let id = format!("new-{}", numbers.fetch_add(1, Ordering::Relaxed));
+        site.submit(entry, &submission(&id, 1, 50, 5_000))
+    };
     site.wait_until(|site| {
-        let answers = (0..2).map(|entry| site.submit(entry, &submission("off", 1, 50, 5_000)));
-        answers.into_iter().all(|answer| answer.reason == Some(Reason::UnknownService))
+        let mut answers = (0..8).map(|number| submit_new(site, number % 2));
+        answers.all(|answer| answer.reason == Some(Reason::UnknownService))
     });
     site.publish("on", "marea", "marea/listing", "enabled", &json!(true), 1);
     site.wait_until(|site| {
-        site.submit(1, &submission("on", 1, 50, 5_000)).state == AnswerState::Complete
+        let mut answers = (0..8).map(|number| submit_new(site, number % 2));
+        answers.all(|answer| answer.state == AnswerState::Complete)
     });
 }
 
