Smaller files by job; examples; peers' settings offsets in the status

Ownership of slices, membership, entry, agent and the proofs' world are split by what their parts do; code moved, behaviour and checks the same. Two functions that nobody called are gone. 'bulrushctl status' shows how far each entry has folded the settings.

--- a/crates/bulrushlatch_core/src/process/entry.rs
+++ b/crates/bulrushlatch_core/src/process/entry/mod.rs
@@ -1,7 +1,11 @@
 //! A whole entry: membership, shards and what they share.
+//!
+//! - [`routing`]: bringing messages to the shards that they are for
+
+pub mod routing;
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeSet,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -28,7 +32,7 @@
     },
     effect::{Destination, Effect},
     limits::Limits,
-    message::{Collect, Collected, Envelope, Message, Note, Sealed, StateUpdate, Ticket},
+    message::{Envelope, Message, StateUpdate, Ticket},
     version::{policy::team_quota, settings::SettingsTree, view::View},
 };
 
@@ -243,117 +247,6 @@
         }
     }
 
-    fn receive_message(&self, from: Destination, message: Message, effects: &mut Vec<Effect>) {
-        let moment = self.moment();
-        match message {
-            Message::AgentHeartbeat(heartbeat) => {
-                let mut agents = self.tables.agents();
-                agents.note_load(moment.now, from.incarnation, heartbeat.load);
-                drop(agents);
-                self.membership().note_agent(moment.now, from, &heartbeat, effects);
-            }
-            Message::QuotaAsk(ask) => {
-                let quota_slots = team_quota(&self.settings(), &ask.team).unwrap_or(0);
-                let reply = self.tables.quotas().take_ask(from.incarnation, &ask, quota_slots);
-                self.send_quota_messages(reply, effects);
-            }
-            Message::QuotaLoan(loan) => {
-                let reply = self.tables.quotas().take_loan(from.incarnation, &loan);
-                self.send_quota_messages(reply, effects);
-            }
-            Message::Collect(collect) => self.receive_collect(from, &collect, effects),
-            Message::Collected(collected) => self.receive_collected(from, collected, effects),
-            Message::Note(note) => self.receive_note(from, note, effects),
-            Message::NoteAck(ack) => {
-                let parts = self.split(ack.accepted, |id| slice_of(id));
-                for (index, accepted) in parts {
-                    let ack = crate::message::NoteAck { epoch: ack.epoch, accepted };
-                    let message = Message::NoteAck(ack);
-                    lock(&self.shards[index]).receive(moment, from, message, effects);
-                }
-            }
-            Message::Sealed(sealed) => {
-                for (index, slices) in self.split(sealed.slices, |sealed| sealed.slice) {
-                    let message = Message::Sealed(Sealed { slices });
-                    lock(&self.shards[index]).receive(moment, from, message, effects);
-                }
-            }
-            Message::Report(report) => {
-                let load = report.load;
-                self.tables.agents().note_load(moment.now, from.incarnation, load);
-                if report.tasks.is_empty() {
-                    for shard in &self.shards {
-                        lock(shard).dispatch(moment, effects);
-                    }
-                }
-                let slice =
-                    |task: &crate::message::TaskReport| slice_of(&task.placement.submission_id);
-                for (index, tasks) in self.split(report.tasks, slice) {
-                    let message = Message::Report(crate::message::Report { load, tasks });
-                    lock(&self.shards[index]).receive(moment, from, message, effects);
-                }
-            }
-            message => self.receive_for_one(from, message, effects),
-        }
-    }
-
-    /// Passes on a message that is about one submission or one waiting caller.
-    fn receive_for_one(&self, from: Destination, message: Message, effects: &mut Vec<Effect>) {
-        let moment = self.moment();
-        let submission_id = match &message {
-            Message::Forward(forward) => &forward.submission.submission_id,
-            Message::Cancel(lookup) | Message::Lookup(lookup) => &lookup.submission_id,
-            Message::Answered(answered) => &answered.answer.submission_id,
-            Message::QueryReply(reply) => &reply.submission_id,
-            Message::NotOwner(_) => {
-                for shard in &self.shards {
-                    lock(shard).receive(moment, from, message.clone(), effects);
-                }
-                return;
-            }
-            _ => return,
-        };
-        let mut shard = self.shard_for(submission_id);
-        shard.receive(moment, from, message, effects);
-    }
-
-    /// The view comes with the question, so that the answer is given in it or a later one.
-    fn receive_collect(&self, from: Destination, collect: &Collect, effects: &mut Vec<Effect>) {
-        let view = Some(Arc::clone(&collect.view));
-        self.adopt(&StateUpdate { view, settings: None }, effects);
-        let moment = self.moment();
-        for (index, slices) in self.split(collect.slices.clone(), |&slice| slice) {
-            let message = Message::Collect(Collect { view: Arc::clone(&collect.view), slices });
-            lock(&self.shards[index]).receive(moment, from, message, effects);
-        }
-    }
-
-    fn receive_collected(
-        &self,
-        from: Destination,
-        collected: Collected,
-        effects: &mut Vec<Effect>,
-    ) {
-        let moment = self.moment();
-        let epoch = collected.epoch;
-        let mut ids = self.split(collected.ids, |id| slice_of(&id.submission_id));
-        for (index, slices) in self.split(collected.slices, |sealed| sealed.slice) {
-            let ids = ids.remove(&index).unwrap_or_default();
-            let formers = collected.formers.clone();
-            let message = Message::Collected(Collected { epoch, slices, ids, formers });
-            lock(&self.shards[index]).receive(moment, from, message, effects);
-        }
-    }
-
-    fn receive_note(&self, from: Destination, note: Note, effects: &mut Vec<Effect>) {
-        let moment = self.moment();
-        let epoch = note.epoch;
-        for (index, ids) in self.split(note.ids, |id| slice_of(&id.submission_id)) {
-            let message = Message::Note(Note { epoch, ids });
-            lock(&self.shards[index]).receive(moment, from, message, effects);
-        }
-    }
-
     fn adopt(&self, update: &StateUpdate, effects: &mut Vec<Effect>) {
         let moment = self.moment();
         let mut membership = self.membership();
@@ -397,20 +290,6 @@
         }
     }
 
-    /// Sorts items by the shard that holds their slice.
-    fn split<T>(
-        &self,
-        items: Vec<T>,
-        slice_of_item: impl Fn(&T) -> SliceId,
-    ) -> BTreeMap<usize, Vec<T>> {
-        let mut parts: BTreeMap<usize, Vec<T>> = BTreeMap::new();
-        for item in items {
-            let index = shard_of(slice_of_item(&item), self.shards.len());
-            parts.entry(index).or_default().push(item);
-        }
-        parts
-    }
-
     fn shard_for(&self, submission_id: &str) -> MutexGuard<'_, Shard<P>> {
         lock(&self.shards[shard_of(slice_of(submission_id), self.shards.len())])
     }
--- a/crates/bulrushlatch_core/src/process/membership.rs
+++ b/crates/bulrushlatch_core/src/process/membership/mod.rs
@@ -1,4 +1,8 @@
 //! An entry's part in the agreed membership.
+//!
+//! - [`writing`]: the records that an entry writes
+
+pub mod writing;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -10,23 +14,16 @@
 use bulrushlatch_log::platform_log::{LogPage, StreamName};
 use bulrushlatch_protocol::ids::{Incarnation, NodeName, Offset, ZoneName};
 
+use self::writing::WriteKey;
 use super::snapshot_watch::SnapshotWatch;
 use crate::{
     connection::agents::AgentTable,
     effect::{Destination, Effect},
     limits::{Limits, jittered},
     message::{AgentDescription, AgentHeartbeat, Directive, EntryHeartbeat, Message, StateUpdate},
-    version::{
-        policy::is_drained,
-        settings::SettingsTree,
-        stream::{StreamReader, record_body},
-        view::{DepartureCause, OwnershipRecord, View},
-    },
+    version::{policy::is_drained, settings::SettingsTree, stream::StreamReader, view::View},
 };
 
-/// Factor on the silence limit for an entry that does not hear most of the others.
-const MINORITY_PATIENCE: u32 = 4;
-
 /// Allowance for clocks that do not run at the same rate, and for the time of an answer.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
@@ -100,15 +97,6 @@
     last_heard: Instant,
 }
 
-/// A record that may have to be written more than once, because a reply or the log was lost.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum WriteKey {
-    Join,
-    Remove(Incarnation),
-    AgentJoined(Incarnation),
-    AgentGone(Incarnation),
-}
-
 impl Membership {
     /// Returns the membership of an entry that knows nothing yet.
     pub fn new(
@@ -327,16 +315,9 @@
         self.peers.get(&peer).map(|peer| now.saturating_duration_since(peer.last_heard))
     }
 
-    /// Returns the lowest settings offset that the other members have shown.
-    pub fn lowest_peer_settings_offset(&self) -> Option<Offset> {
-        let members = self.view().members.keys().filter_map(|member| self.peers.get(member));
-        members.map(|peer| peer.settings_offset).min()
-    }
-
-    /// Returns the lowest ownership offset that the other members have shown.
-    pub fn lowest_peer_ownership_offset(&self) -> Option<Offset> {
-        let members = self.view().members.keys().filter_map(|member| self.peers.get(member));
-        members.map(|peer| peer.ownership_offset).min()
+    /// Returns the settings offset that another entry last showed.
+    pub fn settings_offset_of(&self, peer: Incarnation) -> Option<Offset> {
+        self.peers.get(&peer).map(|peer| peer.settings_offset)
     }
 
     fn after_change(&mut self, now: Instant, mut change: StateChange) -> StateChange {
@@ -408,134 +389,4 @@
         };
         self.view().agents.keys().copied().filter(is_silent).collect()
     }
-
-    fn write_own_membership(&mut self, now: Instant, wall_ms: u64, effects: &mut Vec<Effect>) {
-        let incarnation = self.identity.incarnation;
-        if self.is_leaving {
-            if self.is_member() {
-                let record = OwnershipRecord::Remove {
-                    incarnation,
-                    by: incarnation,
-                    cause: DepartureCause::Left,
-                    at_ms: wall_ms,
-                };
-                self.write(now, WriteKey::Remove(incarnation), &record, effects);
-            }
-            return;
-        }
-        if !self.is_member() {
-            let record = OwnershipRecord::Join {
-                incarnation,
-                name: self.identity.name.clone(),
-                address: self.identity.address,
-                zone: self.identity.zone.clone(),
-                at_ms: wall_ms,
-            };
-            self.write(now, WriteKey::Join, &record, effects);
-        }
-    }
-
-    fn write_removals(&mut self, now: Instant, wall_ms: u64, effects: &mut Vec<Effect>) {
-        let me = self.identity.incarnation;
-        let others = self.view().members.keys().copied().filter(|&member| member != me);
-        let others: Vec<Incarnation> = others.collect();
-        let silence = |member: &Incarnation| {
-            let known_for = now.saturating_duration_since(self.view_since);
-            self.silent_for(now, *member).unwrap_or(known_for)
-        };
-        let heard = others.iter().filter(|member| silence(member) < self.limits.silence).count();
-        let hears_most = (heard + 1) * 2 > others.len() + 1;
-        let patience = if hears_most { 1 } else { MINORITY_PATIENCE };
-        let bound = self.limits.silence * patience;
-        let silent = others.into_iter().filter(|member| silence(member) >= bound);
-        let silent: Vec<Incarnation> = silent.collect();
-        for incarnation in silent {
-            let cause = DepartureCause::Silent;
-            let record = OwnershipRecord::Remove { incarnation, by: me, cause, at_ms: wall_ms };
-            self.write(now, WriteKey::Remove(incarnation), &record, effects);
-        }
-    }
-
-    fn write_agents(
-        &mut self,
-        now: Instant,
-        wall_ms: u64,
-        silent_agents: &[Incarnation],
-        agents: &AgentTable,
-        effects: &mut Vec<Effect>,
-    ) {
-        let silence = self.limits.silence;
-        self.newcomers
-            .retain(|_, newcomer| now.saturating_duration_since(newcomer.last_heard) < silence);
-        for (incarnation, newcomer) in self.newcomers.clone() {
-            let waited = now.saturating_duration_since(newcomer.first_heard);
-            if !self.writes_about(incarnation, waited) {
-                continue;
-            }
-            let description = newcomer.description;
-            let record = OwnershipRecord::AgentJoined { incarnation, description, at_ms: wall_ms };
-            self.write(now, WriteKey::AgentJoined(incarnation), &record, effects);
-        }
-        for &incarnation in silent_agents {
-            let known_for = now.saturating_duration_since(self.view_since);
-            let silent_for = agents.silent_for(now, incarnation).unwrap_or(known_for);
-            let waited = silent_for.saturating_sub(self.limits.agent_gone);
-            if self.is_silent_everywhere(incarnation) && self.writes_about(incarnation, waited) {
-                let cause = DepartureCause::Silent;
-                let record = OwnershipRecord::AgentGone { incarnation, cause, at_ms: wall_ms };
-                self.write(now, WriteKey::AgentGone(incarnation), &record, effects);
-            }
-        }
-    }
-
-    /// One member writes about an agent; the others do if it has not done so in time.
-    fn writes_about(&self, agent: Incarnation, waited: Duration) -> bool {
-        let is_registrar = self.view().registrar_of(agent) == Some(self.identity.incarnation);
-        is_registrar || waited >= self.limits.silence
-    }
-
-    /// An agent that any member hears is not gone.
-    fn is_silent_everywhere(&self, agent: Incarnation) -> bool {
-        let me = self.identity.incarnation;
-        let mut others = self.view().members.keys().filter(|&&member| member != me);
-        others.all(|member| {
-            self.peers.get(member).is_some_and(|peer| peer.silent_agents.contains(&agent))
-        })
-    }
-
-    /// The first member writes snapshots.
-    fn write_snapshots(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        let first = self.view().members.keys().next();
-        if first != Some(&self.identity.incarnation) {
-            return;
-        }
-        if self.view_snapshots.take_due(now, &self.limits, &self.view) {
-            let body = self.view.snapshot_body();
-            effects.push(Effect::Append { stream: StreamName::Ownership, body });
-        }
-        if self.settings_snapshots.take_due(now, &self.limits, &self.settings) {
-            let body = self.settings.snapshot_body();
-            effects.push(Effect::Append { stream: StreamName::Settings, body });
-        }
-    }
-
-    fn write(
-        &mut self,
-        now: Instant,
-        key: WriteKey,
-        record: &OwnershipRecord,
-        effects: &mut Vec<Effect>,
-    ) {
-        self.write_body(now, key, record_body::<View>(record), effects);
-    }
-
-    fn write_body(&mut self, now: Instant, key: WriteKey, body: String, effects: &mut Vec<Effect>) {
-        let last_write = self.last_writes.get(&key);
-        let is_recent = |&last: &Instant| now.saturating_duration_since(last) < self.limits.resend;
-        if last_write.is_some_and(is_recent) {
-            return;
-        }
-        self.last_writes.insert(key, now);
-        effects.push(Effect::Append { stream: StreamName::Ownership, body });
-    }
 }
--- a/crates/bulrushlatch_core/src/process/shard/admission.rs
+++ b/crates/bulrushlatch_core/src/process/shard/admission.rs
@@ -9,7 +9,7 @@
     verdict::Verdict,
 };
 
-use super::{Moment, Shard, ownership::Arrival};
+use super::{Moment, Shard, owned_slice::Arrival};
 use crate::{
     connection::{agents::ServiceCapacity, placement::Placement as PlacementRule},
     effect::Effect,
--- a/crates/bulrushlatch_core/src/process/shard/forwarding.rs
+++ b/crates/bulrushlatch_core/src/process/shard/forwarding.rs
@@ -12,7 +12,7 @@
     verdict::Verdict,
 };
 
-use super::{Moment, Shard, ownership::Arrival};
+use super::{Moment, Shard, owned_slice::Arrival};
 use crate::{
     connection::{placement::Placement as PlacementRule, remote::MAX_REFUSAL_AGE},
     effect::{Destination, Effect},
--- a/crates/bulrushlatch_core/src/process/shard/mod.rs
+++ b/crates/bulrushlatch_core/src/process/shard/mod.rs
@@ -1,6 +1,9 @@
 //! The submissions of a group of slices at an entry.
 //!
-//! - [`ownership`]: gaining and giving up slices, witnesses
+//! - [`owned_slice`]: a slice that the entry owns, and what waits for it
+//! - [`ownership`]: gaining and giving up slices
+//! - [`collecting`]: asking the other entries for the ids of gained slices
+//! - [`witnesses`]: other entries that remember ids, and sealing
 //! - [`admission`]: what happens to a submission that arrives
 //! - [`recovery`]: submissions that another owner may have begun
 //! - [`dispatch`]: placing tasks and taking their reports
@@ -9,10 +12,13 @@
 
 pub mod admission;
 pub mod answering;
+pub mod collecting;
 pub mod dispatch;
 pub mod forwarding;
+pub mod owned_slice;
 pub mod ownership;
 pub mod recovery;
+pub mod witnesses;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -29,7 +35,7 @@
 
 use self::{
     forwarding::ForwardedRequest,
-    ownership::{Arrival, OwnedSlice},
+    owned_slice::{Arrival, OwnedSlice},
 };
 use crate::{
     connection::{
--- a/crates/bulrushlatch_core/tests/promises/world.rs
+++ b/crates/bulrushlatch_core/tests/promises/world/mod.rs
@@ -1,4 +1,12 @@
 //! Entries, agents, targets and a log in virtual time.
+//!
+//! - `lives`: starting, ending, freezing and draining processes
+//! - `log`: the log, and what is in force of it
+//! - `targets`: tasks at targets
+
+mod lives;
+mod log;
+mod targets;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -200,165 +208,6 @@
         }
     }
 
-    /// Starts a new entry in a slot whose entry ended.
-    pub fn start_entry(&mut self, index: usize) {
-        if self.entries[index].process.is_some() {
-            return;
-        }
-        let limits = Limits {
-            snapshot_age: Duration::from_secs(3),
-            snapshot_records: 20,
-            agent_gone: Duration::from_secs(6),
-            ..Limits::default()
-        };
-        let incarnation = self.random.u64(1..);
-        let rule = MostFree::new(self.random.u64(..));
-        let seeds = self.entries.iter().map(|slot| slot.address).collect();
-        let slot = &mut self.entries[index];
-        let identity = EntryIdentity {
-            incarnation,
-            name: format!("entry-{index}").into(),
-            address: slot.address,
-            zone: format!("zone-{index}").into(),
-        };
-        let clock = Arc::clone(&self.clock);
-        slot.process = Some(Entry::new(clock, identity, Arc::new(limits), seeds, vec![rule]));
-        slot.life += 1;
-        slot.frozen_since = None;
-        slot.leaving = false;
-        slot.drained_since = None;
-        slot.followed_since = self.now;
-        slot.settings_offset = 0;
-    }
-
-    /// Starts a new agent in a slot whose agent ended.
-    pub fn start_agent(&mut self, index: usize) {
-        if self.agents[index].process.is_some() {
-            return;
-        }
-        let mut incarnation = self.random.u64(1..);
-        let entries = self.entries.iter().map(|slot| slot.address).collect();
-        let slot = &mut self.agents[index];
-        if self.sabotage == Some(Sabotage::SameIncarnation) && slot.life > 0 {
-            incarnation = slot.first_incarnation;
-        }
-        slot.first_incarnation = incarnation;
-        let description = AgentDescription {
-            name: slot.name.as_str().into(),
-            address: slot.address,
-            zone: format!("zone-{index}").into(),
-            service: "listing".into(),
-            slots: SLOTS,
-            formers: Vec::new(),
-        };
-        let limits = Arc::new(Limits::default());
-        let now = self.clock.now();
-        slot.process = Some(Agent::new(incarnation, description, limits, entries, now));
-        slot.life += 1;
-        slot.frozen_since = None;
-        slot.leaving_since = None;
-        slot.idle_since = None;
-    }
-
-    /// Ends an entry at once.
-    pub fn kill_entry(&mut self, index: usize) {
-        self.end_entry(index);
-    }
-
-    /// Ends an agent at once.
-    pub fn kill_agent(&mut self, index: usize) {
-        self.agents[index].process = None;
-        self.agents[index].held.clear();
-        self.agents[index].held_ends.clear();
-    }
-
-    /// Stops an entry from doing anything.
-    pub fn freeze_entry(&mut self, index: usize) {
-        let now = self.now;
-        self.entries[index].frozen_since.get_or_insert(now);
-    }
-
-    /// Stops an agent from doing anything.
-    pub fn freeze_agent(&mut self, index: usize) {
-        let now = self.now;
-        self.agents[index].frozen_since.get_or_insert(now);
-    }
-
-    /// Lets a frozen entry go on.
-    pub fn thaw_entry(&mut self, index: usize) {
-        let Some(since) = self.entries[index].frozen_since.take() else { return };
-        let frozen = self.now - since;
-        let life = self.entries[index].life;
-        for (&(slot, ticket_life, _), &attempt) in &self.tickets {
-            if slot == index && ticket_life == life {
-                self.oracle.attempts[attempt].frozen += frozen;
-            }
-        }
-        self.entries[index].followed_since = self.now;
-        for call in std::mem::take(&mut self.entries[index].held_calls) {
-            self.call_entry(index, call);
-        }
-        for envelope in std::mem::take(&mut self.entries[index].held) {
-            let to = self.entries[index].address;
-            self.deliver(Delivery { to, envelope });
-        }
-    }
-
-    /// Lets a frozen agent go on.
-    pub fn thaw_agent(&mut self, index: usize) {
-        self.agents[index].frozen_since = None;
-        for end in std::mem::take(&mut self.agents[index].held_ends) {
-            self.end_task(end);
-        }
-        for envelope in std::mem::take(&mut self.agents[index].held) {
-            let to = self.agents[index].address;
-            self.deliver(Delivery { to, envelope });
-        }
-    }
-
-    /// Asks an entry to shut down in order.
-    pub fn leave_entry(&mut self, index: usize) {
-        if let Some(entry) = &self.entries[index].process {
-            entry.begin_shutdown();
-            self.entries[index].leaving = true;
-        }
-    }
-
-    /// Asks an agent to shut down in order.
-    pub fn leave_agent(&mut self, index: usize) {
-        let now = self.clock.now();
-        let mut effects = Vec::new();
-        let Some(agent) = &mut self.agents[index].process else { return };
-        if self.sabotage != Some(Sabotage::LeaveUnannounced) {
-            agent.begin_shutdown(now, &mut effects);
-        }
-        self.agents[index].leaving_since.get_or_insert(self.now);
-        self.execute_for_agent(index, effects);
-    }
-
-    /// Sets how the log treats calls.
-    pub fn set_log_mode(&mut self, mode: LogMode) {
-        self.log.set_mode(mode);
-        let is_up = mode == LogMode::Up;
-        self.log_up_since = is_up.then_some(self.now);
-    }
-
-    /// Lets the log forget what is older than its retention.
-    pub fn lapse_log(&mut self) {
-        let oldest = self.now.saturating_sub(RETENTION);
-        for stream in [StreamName::Ownership, StreamName::Settings] {
-            let times = self.appended.entry(stream).or_default();
-            let kept = times.iter().filter(|at| **at >= oldest).count();
-            self.log.lapse(stream, kept);
-        }
-    }
-
-    /// Publishes a change, as an entry does for an operator.
-    pub fn publish(&mut self, change: &Change) {
-        let body = format!("{{\"record\":{}}}", serde_json::to_string(change).expect("JSON"));
-        self.append_later(StreamName::Settings, body);
-    }
-
     /// Submits at an entry; nothing happens if no process is there.
     pub fn submit(&mut self, index: usize, submission_id: &str, run_ms: &[u64], timeout: Duration) {
         if self.entries[index].process.is_none() || self.entries[index].leaving {
@@ -417,26 +266,6 @@
         self.clock.wall_ms()
     }
 
-    /// Offers an entry old settings under a new offset.
-    pub fn offer_old_settings(&mut self, index: usize) {
-        use bulrushlatch_core::{
-            message::StateUpdate,
-            version::{settings::SettingsTree, stream::Fold},
-        };
-        let mut tree = SettingsTree::default();
-        let length = self.appended.get(&StreamName::Settings).map_or(0, Vec::len) as Offset;
-        tree.set_next_offset(length + 1);
-        let update = StateUpdate { view: None, settings: Some(Arc::new(tree)) };
-        let to = self.entries[index].address;
-        let envelope = Envelope {
-            from: 1,
-            from_address: to,
-            to: 0,
-            messages: vec![Message::StateUpdate(update)],
-        };
-        self.deliver(Delivery { to, envelope });
-    }
-
     fn is_due(&self, interval: Duration) -> bool {
         (self.now.as_nanos() / STEP.as_nanos())
             .is_multiple_of(interval.as_nanos() / STEP.as_nanos())
@@ -484,20 +313,6 @@
         self.execute_for_entry(index, effects);
     }
 
-    fn end_entry(&mut self, index: usize) {
-        let slot = &mut self.entries[index];
-        slot.process = None;
-        slot.held.clear();
-        slot.held_calls.clear();
-        let life = slot.life;
-        for (&(slot, ticket_life, _), &attempt) in &self.tickets {
-            let attempt = &mut self.oracle.attempts[attempt];
-            if slot == index && ticket_life == life && attempt.answer.is_none() {
-                attempt.is_lost = true;
-            }
-        }
-    }
-
     fn trace(&self, what: &dyn std::fmt::Debug) {
         let Some(id) = &self.traced else { return };
         let text = format!("{what:?}");
@@ -608,85 +423,6 @@
         self.network.send(self.now, &mut self.random, &delivery);
     }
 
-    fn run_task(&mut self, index: usize, task: StartTask) {
-        let placement = &task.placement;
-        let id = placement.submission_id.to_string();
-        let slot = &self.agents[index];
-        let mode = slot.target;
-        let not_run = Err(error(Verdict::NotRun, Reason::TargetUnreachable));
-        if mode == TargetMode::Refuses {
-            self.end_later(index, task, Duration::from_millis(1), not_run);
-            return;
-        }
-        for (since, bound, what) in [
-            (slot.leaving_since, LEAVING_WITHIN, "after it left"),
-            (slot.drained_at, IN_FORCE_WITHIN, "after it was drained"),
-        ] {
-            if since.is_some_and(|since| self.now > since + bound) {
-                let text = format!("{} started {id} {what}", slot.name);
-                self.oracle.violations.push(text);
-            }
-        }
-        self.oracle.note_start(&(id.clone(), placement.index), self.now);
-        let run_ms: u64 = task.payload.get().parse().unwrap_or(50);
-        let run = Duration::from_millis(run_ms);
-        let result = RawValue::from_string(result_text(&id, placement.index)).expect("JSON");
-        let done = Ok(TaskDone { result: result.into(), run_ms });
-        let lost = Err(error(Verdict::MayHaveRun, Reason::TargetLost));
-        let (time, outcome) = match mode {
-            TargetMode::FailsAll => {
-                (Duration::from_millis(5), Err(error(Verdict::Ran, Reason::TaskFailed)))
-            }
-            TargetMode::Straggles => (run * 10, done),
-            TargetMode::LosesReplies => (run, lost.clone()),
-            _ => (run, done),
-        };
-        let timeout = Duration::from_millis(task.timeout_ms);
-        let outcome = if time > timeout { lost } else { outcome };
-        self.end_later(index, task, time.min(timeout), outcome);
-    }
-
-    fn end_later(
-        &mut self,
-        slot: usize,
-        task: StartTask,
-        time: Duration,
-        outcome: Result<TaskDone, TaskError>,
-    ) {
-        let key = (self.now + time, self.number());
-        let life = self.agents[slot].life;
-        self.ends.insert(key, TaskEnd { slot, life, task, outcome });
-    }
-
-    fn end_tasks(&mut self) {
-        while let Some((&key, _)) = self.ends.first_key_value() {
-            if key.0 > self.now {
-                return;
-            }
-            if let Some(end) = self.ends.remove(&key) {
-                self.end_task(end);
-            }
-        }
-    }
-
-    fn end_task(&mut self, end: TaskEnd) {
-        let now = self.clock.now();
-        let slot = &mut self.agents[end.slot];
-        if slot.life != end.life {
-            return;
-        }
-        if slot.frozen_since.is_some() {
-            slot.held_ends.push(end);
-            return;
-        }
-        let Some(agent) = &mut slot.process else { return };
-        let mut effects = Vec::new();
-        let placement = &end.task.placement;
-        let (id, index) = (&placement.submission_id, placement.index);
-        agent.finish(now, id, index, end.outcome, &mut effects);
-        self.execute_for_agent(end.slot, effects);
-    }
-
     fn tick_all(&mut self) {
         for index in 0..self.entries.len() {
             let slot = &self.entries[index];
@@ -717,110 +453,6 @@
             }
         }
     }
-
-    fn exit_if_drained(&mut self, index: usize) {
-        let slot = &mut self.entries[index];
-        let Some(entry) = slot.process.as_ref().filter(|_| slot.leaving) else { return };
-        let is_drained = entry.is_drained();
-        slot.drained_since = is_drained.then(|| slot.drained_since.unwrap_or(self.now));
-        let is_over = slot.drained_since.is_some_and(|since| self.now >= since + LINGER);
-        if !is_over && self.sabotage != Some(Sabotage::ExitAtOnce) {
-            return;
-        }
-        let life = slot.life;
-        self.end_entry(index);
-        for (&(slot, ticket_life, _), &attempt) in &self.tickets {
-            if slot == index && ticket_life == life && self.oracle.attempts[attempt].is_lost {
-                let text = format!("a leaving entry cut off attempt {attempt}");
-                self.oracle.violations.push(text);
-            }
-        }
-    }
-
-    fn append_later(&mut self, stream: StreamName, body: String) {
-        let delay_ms =
-            if self.slow_log { self.random.u64(1000..3000) } else { self.random.u64(3..9) };
-        let key = (self.now + Duration::from_millis(delay_ms), self.number());
-        self.appends.insert(key, (stream, body));
-    }
-
-    fn apply_appends(&mut self) {
-        while let Some((&key, _)) = self.appends.first_key_value() {
-            if key.0 > self.now {
-                return;
-            }
-            let Some((stream, body)) = self.appends.remove(&key) else { return };
-            if self.log.append(stream, &body).is_err() {
-                continue;
-            }
-            self.appended.entry(stream).or_default().push(self.now);
-            if stream == StreamName::Settings {
-                self.note_settings_record(&body);
-            }
-        }
-    }
-
-    fn note_settings_record(&mut self, body: &str) {
-        let length = self.appended[&StreamName::Settings].len() as Offset;
-        self.settings_lengths.push((self.now, length));
-        let record: serde_json::Value = serde_json::from_str(body).expect("records are JSON");
-        let Ok(change) = serde_json::from_value::<Change>(record["record"].clone()) else { return };
-        self.oracle.note_change(&change);
-        for slot in &mut self.agents {
-            let is_drain = change.path == format!("targets/{}", slot.name);
-            if is_drain && change.value == Some(serde_json::Value::Bool(true)) {
-                slot.drained_at.get_or_insert(self.now);
-            }
-        }
-    }
-
-    fn read_log(&mut self) {
-        let reads_settings = self.sabotage != Some(Sabotage::NoSettings) || self.now < FORMED;
-        for index in 0..self.entries.len() {
-            for stream in [StreamName::Ownership, StreamName::Settings] {
-                if stream == StreamName::Settings && !reads_settings {
-                    continue;
-                }
-                let slot = &self.entries[index];
-                let Some(entry) = slot.process.as_ref() else { continue };
-                if slot.frozen_since.is_some() {
-                    continue;
-                }
-                let Ok(page) = self.log.read(stream, entry.next_offset(stream), 100) else {
-                    continue;
-                };
-                let mut effects = Vec::new();
-                entry.fold(stream, &page, &mut effects);
-                self.execute_for_entry(index, effects);
-            }
-        }
-    }
-
-    /// Accepted settings are in force within the bound, are the same everywhere and never revert.
-    fn look_at_settings(&mut self) {
-        let all = self.appended.get(&StreamName::Settings).map_or(0, Vec::len) as Offset;
-        let bound = self.now.saturating_sub(IN_FORCE_WITHIN);
-        let due = self.settings_lengths.iter().rev().find(|(at, _)| *at <= bound);
-        let due = due.map_or(0, |(_, length)| *length);
-        let was_readable = self.log_up_since.is_some_and(|since| since <= bound);
-        let mut violations = Vec::new();
-        for (index, slot) in self.entries.iter_mut().enumerate() {
-            let Some(entry) = slot.process.as_ref() else { continue };
-            let offset = entry.next_offset(StreamName::Settings);
-            if offset < slot.settings_offset {
-                violations.push(format!("entry {index} went back to older settings"));
-            }
-            slot.settings_offset = offset;
-            let could_follow = slot.frozen_since.is_none() && slot.followed_since <= bound;
-            if was_readable && could_follow && offset < due {
-                violations.push(format!("entry {index} has settings {offset} of {due}"));
-            }
-            if offset >= all && !self.oracle.settings().is_same(&entry.settings()) {
-                violations.push(format!("entry {index} has other settings than published"));
-            }
-        }
-        self.oracle.violations.extend(violations);
-    }
 }
 
 impl super::oracle::PlainSettings {
--- a/crates/bulrushlatch_ctl/src/commands.rs
+++ b/crates/bulrushlatch_ctl/src/commands.rs
@@ -193,10 +193,10 @@
         status.open_jobs,
         status.queued_tasks,
     );
-    let silence = |silent_ms: Option<u64>| silent_ms.map_or("-".to_owned(), |ms| ms.to_string());
+    let or_dash = |number: Option<u64>| number.map_or("-".to_owned(), |number| number.to_string());
     let entries = status.entries.iter().map(|entry| {
-        let silent_ms = silence(entry.silent_ms);
-        vec![entry.name.clone(), entry.zone.clone(), entry.address.clone(), silent_ms]
+        let (silent_ms, offset) = (or_dash(entry.silent_ms), or_dash(entry.settings_offset));
+        vec![entry.name.clone(), entry.zone.clone(), entry.address.clone(), silent_ms, offset]
     });
     let entries: Vec<Vec<String>> = entries.collect();
     let agents = status.agents.iter().map(|agent| {
@@ -206,11 +206,11 @@
             agent.service.clone(),
             format!("{}/{}", agent.busy_slots, agent.slots),
             agent.state.clone(),
-            silence(agent.silent_ms),
+            or_dash(agent.silent_ms),
         ]
     });
     let agents: Vec<Vec<String>> = agents.collect();
-    let entries = render(&["entry", "zone", "address", "silent_ms"], &entries);
+    let entries = render(&["entry", "zone", "address", "silent_ms", "settings offset"], &entries);
     let agents = render(&["agent", "zone", "service", "busy slots", "state", "silent_ms"], &agents);
     format!("{heading}{entries}\n{agents}")
 }
--- a/crates/bulrushlatch_entry/src/operator_api.rs
+++ b/crates/bulrushlatch_entry/src/operator_api.rs
@@ -67,6 +67,8 @@
     pub address: String,
     /// Time since it was heard; nothing for the entry that answers.
     pub silent_ms: Option<u64>,
+    /// Settings offset that it last showed; nothing for the entry that answers.
+    pub settings_offset: Option<u64>,
 }
 
 /// One agent in a status report.
@@ -152,6 +154,7 @@
         zone: member.zone.to_string(),
         address: member.address.to_string(),
         silent_ms: membership.silent_for(now, incarnation).map(|time| time.as_millis() as u64),
+        settings_offset: membership.settings_offset_of(incarnation),
     });
     rows.collect()
 }
--- /dev/null
+++ b/crates/bulrushlatch_lab/examples/submit_twice.rs
@@ -0,0 +1,35 @@
+//! Submits the same job at two entries and shows that it ran once.
+//!
+//!     cargo run -p bulrushlatch_lab --example submit_twice
+
+use bulrushlatch_lab::site::{Site, SiteShape};
+use bulrushlatch_protocol::answer::Answer;
+use serde_json::json;
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let shape = SiteShape {
+        zones: 2,
+        entries: 2,
+        agents: 2,
+        slots: 8,
+        service: "listing".to_owned(),
+        team: "marea".to_owned(),
+    };
+    let site = Site::start(&shape)?;
+    let job = json!({
+        "submission_id": "order-17",
+        "team": "marea",
+        "service": "listing",
+        "timeout_ms": 5000,
+        "tasks": [{ "kind": "photo", "payload": { "run_ms": 80 } }],
+    });
+    for entry in site.caller_addresses() {
+        let request = attohttpc::post(format!("http://{entry}/v1/submissions")).json(&job)?;
+        let answer: Answer = request.send()?.json()?;
+        println!("{entry} answered {} with {} result(s)", answer.state, answer.results.len());
+    }
+    let started: u64 = site.targets.iter().map(|target| target.count().started).sum();
+    println!("the targets started {started} task(s)");
+    site.stop();
+    Ok(())
+}
