--- a/crates/bulrushlatch_core/src/process/shard/admission.rs
+++ b/crates/bulrushlatch_core/src/process/shard/admission.rs
@@ -108,14 +108,7 @@
         let mut job = Job::new(submission, deadline, phase);
         job.waiters = waiters;
         self.deadlines.insert((deadline, submission_id.clone()));
-        let id = KnownId {
-            submission_id: submission_id.clone(),
-            digest: job.digest,
-            admitted_offset: self.view.next_offset,
-            age_ms: 0,
-            closing: None,
-            whereabouts: None,
-        };
+        let id = KnownId::new(submission_id.clone(), job.digest, self.view.next_offset);
         self.known.remember(moment.now, id).holders.extend(witness);
         self.jobs.insert(submission_id.clone(), job);
         self.note_or_activate(moment, &submission_id, effects);
@@ -136,9 +129,10 @@
         let witnesses = self.witnesses_of(slice_of(submission_id));
         let Some(job) = self.jobs.get_mut(submission_id) else { return };
         let JobPhase::Noting(noting) = &mut job.phase else { return };
-        let witness = witnesses[noting.asked % witnesses.len().max(1)];
+        let next = noting.asked % witnesses.len().max(1);
         noting.asked += 1;
         noting.last_sent = moment.now;
+        let Some(&witness) = witnesses.get(next) else { return };
         self.send_note(moment, witness, std::slice::from_ref(submission_id), effects);
     }
 
--- a/crates/bulrushlatch_core/src/process/shard/forwarding.rs
+++ b/crates/bulrushlatch_core/src/process/shard/forwarding.rs
@@ -224,14 +224,8 @@
         if self.known.len() >= self.limits.max_ids {
             return false;
         }
-        let id = KnownId {
-            submission_id: request.submission_id.clone(),
-            digest: submission.digest(),
-            admitted_offset: self.view.next_offset,
-            age_ms: 0,
-            closing: None,
-            whereabouts: None,
-        };
+        let id =
+            KnownId::new(request.submission_id.clone(), submission.digest(), self.view.next_offset);
         self.known.remember(moment.now, id).is_binding = false;
         true
     }
--- a/crates/bulrushlatch_core/src/process/shard/recovery.rs
+++ b/crates/bulrushlatch_core/src/process/shard/recovery.rs
@@ -199,14 +199,7 @@
     fn resume(&mut self, moment: Moment, submission_id: &SubmissionId, effects: &mut Vec<Effect>) {
         let Some(job) = self.jobs.get_mut(submission_id) else { return };
         job.phase = JobPhase::Noting(Noting { since: moment.now, last_sent: moment.now, asked: 0 });
-        let id = KnownId {
-            submission_id: submission_id.clone(),
-            digest: job.digest,
-            admitted_offset: self.view.next_offset,
-            age_ms: 0,
-            closing: None,
-            whereabouts: None,
-        };
+        let id = KnownId::new(submission_id.clone(), job.digest, self.view.next_offset);
         self.hold_slots_of_located_tasks(moment, submission_id);
         self.known.remember(moment.now, id);
         if self.answer_if_ended(moment, submission_id, effects) {
--- a/crates/bulrushlatch_core/src/request/known.rs
+++ b/crates/bulrushlatch_core/src/request/known.rs
@@ -28,6 +28,14 @@
     pub whereabouts: Option<Vec<TaskWhereabouts>>,
 }
 
+impl KnownId {
+    /// Returns the trace of a submission that is being admitted.
+    pub fn new(submission_id: SubmissionId, digest: u64, admitted_offset: Offset) -> Self {
+        let (closing, whereabouts) = (None, None);
+        Self { submission_id, digest, admitted_offset, age_ms: 0, closing, whereabouts }
+    }
+}
+
 /// Where one task is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/bulrushlatch_lab/src/capacity/slopes.rs
+++ b/crates/bulrushlatch_lab/src/capacity/slopes.rs
@@ -108,14 +108,8 @@
     let now = Instant::now();
     let mut known = KnownIds::default();
     for number in 0..KEPT {
-        let id = KnownId {
-            submission_id: format!("01a3185c-8324-7000-8000-{number:012x}").into(),
-            digest: number as u64,
-            admitted_offset: 0,
-            age_ms: 0,
-            closing: None,
-            whereabouts: None,
-        };
+        let submission_id = format!("01a3185c-8324-7000-8000-{number:012x}").into();
+        let id = KnownId::new(submission_id, number as u64, 0);
         known.remember(now, id).holders.insert(1);
     }
     let bytes = (resident_bytes() - before) as f64 / known.len() as f64;
