Give a failing target ever fewer probation tasks

Cause: every entry gave an ejected target a task every two seconds, and each failed a job: about 30 an entry in a minute.

--- a/crates/bulrushlatch_bin/src/bin/bulrush-lab.rs
+++ b/crates/bulrushlatch_bin/src/bin/bulrush-lab.rs
@@ -144,6 +144,8 @@
             workload: workload(flags.workload.as_deref())?,
             load: f64::from(percent) / 100.0,
             has_burst,
+            has_wrong_hints: flags.wrong_hints,
+            has_cancel_wave: flags.cancel_wave,
             first_target,
             duration: Duration::from_secs(flags.seconds.unwrap_or(60)),
             seed: flags.seed.unwrap_or(1),
--- a/crates/bulrushlatch_core/src/connection/health.rs
+++ b/crates/bulrushlatch_core/src/connection/health.rs
@@ -4,8 +4,10 @@
 
 /// Failures in a row after which a target is ejected.
 const FAILURES_TO_EJECT: u32 = 5;
-/// Time between probation tasks of an ejected target.
-const PROBATION_INTERVAL: Duration = Duration::from_secs(2);
+/// Time until the first probation task of an ejected target; it doubles with each that fails.
+const FIRST_PROBATION: Duration = Duration::from_secs(2);
+/// Longest time between probation tasks.
+const LONGEST_PROBATION: Duration = Duration::from_secs(16);
 /// Successes in a row that end an ejection.
 const SUCCESSES_TO_RETURN: u32 = 3;
 
@@ -16,6 +18,8 @@
     successes_in_row: u32,
     /// When the next probation task may be placed; set exactly while the target is ejected.
     next_probation: Option<Instant>,
+    /// Time between probation tasks; meaningful while the target is ejected.
+    probation_interval: Duration,
 }
 
 impl TargetHealth {
@@ -32,7 +36,7 @@
     /// Notes that a task was placed.
     pub fn note_placed(&mut self, now: Instant) {
         if let Some(next_probation) = &mut self.next_probation {
-            *next_probation = now + PROBATION_INTERVAL;
+            *next_probation = now + self.probation_interval;
         }
     }
 
@@ -40,6 +44,7 @@
     pub fn note_success(&mut self) {
         self.failures_in_row = 0;
         self.successes_in_row += 1;
+        self.probation_interval = FIRST_PROBATION;
         if self.successes_in_row >= SUCCESSES_TO_RETURN {
             self.next_probation = None;
         }
@@ -51,11 +56,16 @@
     pub fn note_failure(&mut self, now: Instant, may_eject: bool) -> bool {
         self.successes_in_row = 0;
         self.failures_in_row += 1;
-        let is_failing = self.failures_in_row >= FAILURES_TO_EJECT;
-        if !is_failing || !may_eject || self.is_ejected() {
+        if let Some(next_probation) = &mut self.next_probation {
+            self.probation_interval = (self.probation_interval * 2).min(LONGEST_PROBATION);
+            *next_probation = now + self.probation_interval;
+            return false;
+        }
+        if self.failures_in_row < FAILURES_TO_EJECT || !may_eject {
             return false;
         }
-        self.next_probation = Some(now + PROBATION_INTERVAL);
+        self.probation_interval = FIRST_PROBATION;
+        self.next_probation = Some(now + self.probation_interval);
         true
     }
 }
--- a/crates/bulrushlatch_lab/src/flags.rs
+++ b/crates/bulrushlatch_lab/src/flags.rs
@@ -59,6 +59,10 @@
             optional --rule name: String
             /// Load as a share of the slots, in percent (default: 50, 80, 95 and a burst at 80)
             optional --load percent: u32
+            /// Callers declare run times ten times too short or too long
+            optional --wrong-hints
+            /// A third of the submissions of one second are cancelled at once
+            optional --cancel-wave
             /// First target: normal, slow or fails_all (default normal)
             optional --first-target kind: String
             /// Time to submit for in virtual seconds (default 60)
@@ -144,6 +148,8 @@
     pub workload: Option<String>,
     pub rule: Option<String>,
     pub load: Option<u32>,
+    pub wrong_hints: bool,
+    pub cancel_wave: bool,
     pub first_target: Option<String>,
     pub seconds: Option<u64>,
     pub seed: Option<u64>,
--- a/crates/bulrushlatch_lab/src/policy/comparison.rs
+++ b/crates/bulrushlatch_lab/src/policy/comparison.rs
@@ -10,7 +10,7 @@
 use super::virtual_site::{Deployment, FirstTarget, VirtualSite};
 use crate::load::{
     report::{LoadFigures, LoadReport},
-    workload::Workload,
+    workload::{PlannedSubmission, Workload},
 };
 
 /// Time in which a new site gets ready.
@@ -19,6 +19,8 @@
 const TAIL: Duration = Duration::from_secs(40);
 /// One way between a client and its entry, there and back, and the hop to the target.
 const IDEAL_NETWORK_MS: f64 = 2.4;
+/// First ticket of cancellations, above all of submissions.
+const CANCEL_TICKETS: u64 = 1 << 40;
 /// Factor on the rate during a burst.
 const BURST_FACTOR: f64 = 3.0;
 
@@ -45,6 +47,10 @@
     pub load: f64,
     /// Whether the load is three times as high for a tenth of the time.
     pub has_burst: bool,
+    /// Whether callers declare run times that are ten times too short or too long.
+    pub has_wrong_hints: bool,
+    /// Whether a third of the submissions of one second are cancelled at once.
+    pub has_cancel_wave: bool,
     /// What the first target does.
     pub first_target: FirstTarget,
     /// Time to submit for.
@@ -113,6 +119,13 @@
     Deployment { zones, zone_delay, entries: 3, agents: 11, slots: 8 }
 }
 
+fn declare_wrongly(planned: &mut PlannedSubmission, random: &mut fastrand::Rng) {
+    for (task, run_ms) in planned.submission.tasks.iter_mut().zip(&planned.run_ms) {
+        let wrong_ms = if random.bool() { run_ms * 10 } else { run_ms / 10 };
+        task.expected_ms = Some(wrong_ms.max(1));
+    }
+}
+
 fn run<P: PlacementRule>(
     rule: RuleName,
     condition: Condition,
@@ -132,12 +145,27 @@
     let mut report = LoadReport::default();
     while due < READY + condition.duration {
         let ticket = planned.len() as u64 + 1;
-        let submission = workload.plan(&mut random, &format!("job-{ticket}"));
+        let mut submission = workload.plan(&mut random, &format!("job-{ticket}"));
+        if condition.has_wrong_hints {
+            declare_wrongly(&mut submission, &mut random);
+        }
         report.tasks += submission.submission.tasks.len() as u64;
         let entry = random.usize(..deployment.entries);
         site.submit_at(due, entry, ticket, submission.submission.clone());
-        planned.insert(ticket, (due, submission));
         let progress = (due - READY).as_secs_f64() / condition.duration.as_secs_f64();
+        let wave_at = READY + condition.duration / 2;
+        let is_in_wave = condition.has_cancel_wave
+            && (wave_at.saturating_sub(Duration::from_secs(1))..wave_at).contains(&due);
+        if is_in_wave && random.u32(..3) == 0 {
+            let id = submission.submission.submission_id.clone();
+            site.cancel_at(
+                wave_at,
+                random.usize(..deployment.entries),
+                CANCEL_TICKETS + ticket,
+                id,
+            );
+        }
+        planned.insert(ticket, (due, submission));
         let is_burst = condition.has_burst && (0.5..0.6).contains(&progress);
         let factor = if is_burst { BURST_FACTOR } else { 1.0 };
         due += Duration::from_secs_f64(-(1.0 - random.f64()).ln() / (rate * factor));
--- a/crates/bulrushlatch_lab/src/policy/virtual_site.rs
+++ b/crates/bulrushlatch_lab/src/policy/virtual_site.rs
@@ -23,6 +23,7 @@
 use bulrushlatch_protocol::{
     answer::{Answer, Reason},
     change::{Change, SettingKey},
+    ids::SubmissionId,
     submission::Submission,
     verdict::Verdict,
 };
@@ -97,6 +98,7 @@
     Deliver(SocketAddr, Envelope),
     TaskEnds(usize, Box<StartTask>, Result<TaskDone, TaskError>),
     Submit(usize, Ticket, Box<Submission>),
+    Cancel(usize, Ticket, SubmissionId),
     TickEntries,
     TickAgents,
     ReadLog,
@@ -196,6 +198,12 @@
         self.plan(at + CLIENT_DELAY, Event::Submit(entry, ticket, Box::new(submission)));
     }
 
+    /// Plans the cancellation of a submission at an entry, under a ticket of its own.
+    pub fn cancel_at(&mut self, at: Duration, entry: usize, ticket: Ticket, id: SubmissionId) {
+        let entry = entry % self.entries.len();
+        self.plan(at + CLIENT_DELAY, Event::Cancel(entry, ticket, id));
+    }
+
     /// Ends an entry at once; calls to it and its open calls are never answered.
     pub fn kill_entry(&mut self, entry: usize) {
         self.entries[entry] = None;
@@ -230,6 +238,9 @@
             Event::Submit(entry, ticket, submission) => {
                 self.act(entry, |entry, effects| entry.submit(ticket, *submission, effects));
             }
+            Event::Cancel(entry, ticket, id) => {
+                self.act(entry, |entry, effects| entry.cancel(ticket, id, effects));
+            }
             Event::TickEntries => {
                 for index in 0..self.entries.len() {
                     self.act(index, |entry, effects| entry.tick(effects));
