--- a/crates/bulrushlatch_bin/tests/surface.rs
+++ b/crates/bulrushlatch_bin/tests/surface.rs
@@ -164,3 +164,16 @@
     assert_eq!(answer.ran, Verdict::MayHaveRun);
     assert_eq!(site.repeated_tasks(), 0);
 }
+
+#[test]
+fn a_change_whose_reply_the_log_lost_is_settled_by_reading() {
+    let site = ProgramSite::start(1, 1);
+    site.set_log_mode("lose_replies");
+    let lost = site.publish("lost", "marea", "marea", "weight", &json!(2), 0);
+    assert_eq!(lost["outcome"]["accepted"], 1, "{lost}");
+    site.set_log_mode("up");
+    let again = site.publish("lost", "marea", "marea", "weight", &json!(2), 0);
+    assert_eq!(again["outcome"]["accepted"], 1, "{again}");
+    let shown = get_json(site.entries[0].address, "/v1/explain?path=marea&key=weight");
+    assert_eq!(shown.expect("an explanation")["version"], 1);
+}
