An answer 'unknown' has a status of its own, whatever its reason

Cause: a refusal that was qualified to 'unknown' for want of a lease kept the HTTP status of its reason, such as 404, as if it were certain.

--- a/crates/bulrushlatch_entry/src/callers.rs
+++ b/crates/bulrushlatch_entry/src/callers.rs
@@ -75,16 +75,29 @@
 }
 
 fn status_of(answer: &Answer) -> u16 {
-    match (answer.state, answer.reason) {
-        (AnswerState::Complete | AnswerState::Failed, _) => 200,
-        (AnswerState::Running, _) => 202,
-        (_, Some(Reason::BadRequest | Reason::NeverFits)) => 400,
-        (_, Some(Reason::UnknownTeam | Reason::UnknownService | Reason::NotFound)) => 404,
-        (_, Some(Reason::Conflict | Reason::Cancelled)) => 409,
-        (_, Some(Reason::ResultsDropped | Reason::TooOld)) => 410,
-        (_, Some(Reason::TooLarge)) => 413,
-        (_, Some(Reason::QueueFull | Reason::DeadlineUnreachable)) => 429,
-        (AnswerState::Unknown, Some(Reason::OwnerUnreachable | Reason::TimedOut)) => 504,
+    match answer.state {
+        AnswerState::Complete | AnswerState::Failed => 200,
+        AnswerState::Running => 202,
+        AnswerState::Refused => refused_status(answer.reason),
+        AnswerState::Unknown => unknown_status(answer.reason),
+    }
+}
+
+fn refused_status(reason: Option<Reason>) -> u16 {
+    match reason {
+        Some(Reason::BadRequest | Reason::NeverFits) => 400,
+        Some(Reason::UnknownTeam | Reason::UnknownService | Reason::NotFound) => 404,
+        Some(Reason::Conflict | Reason::Cancelled) => 409,
+        Some(Reason::TooLarge) => 413,
+        Some(Reason::QueueFull | Reason::DeadlineUnreachable) => 429,
+        _ => 503,
+    }
+}
+
+fn unknown_status(reason: Option<Reason>) -> u16 {
+    match reason {
+        Some(Reason::ResultsDropped | Reason::TooOld) => 410,
+        Some(Reason::OwnerUnreachable | Reason::TimedOut) => 504,
         _ => 503,
     }
 }
