Bound what agents and entries keep for long

Agents keep at most as many bytes of results as a shard; a dropped one is told as 'it ran, but its result is no longer kept'.

--- a/crates/bulrushlatch_core/src/limits.rs
+++ b/crates/bulrushlatch_core/src/limits.rs
@@ -25,7 +25,7 @@
     pub stamp_age: Duration,
     /// Most ids that one shard keeps.
     pub max_ids: usize,
-    /// Most bytes of results that one shard keeps for resubmissions.
+    /// Most bytes of results that one shard, or one agent, keeps for resubmissions.
     pub max_result_bytes: usize,
     /// Most placements of one task.
     pub max_attempts: u32,
--- a/crates/bulrushlatch_core/src/process/agent/starting.rs
+++ b/crates/bulrushlatch_core/src/process/agent/starting.rs
@@ -11,16 +11,17 @@
 };
 
 use super::{Agent, MAX_REMEMBERED_TASKS, Reporter, WaitingTask, not_run};
-use crate::process::task_memory::AcceptedTask;
 use crate::{
     effect::{Destination, Effect},
     message::{
         Message, Placement, Probe, Query, QueryReply, Start, StartTask, TaskError, TaskReport,
         TaskReportState,
     },
+    process::task_memory::AcceptedTask,
 };
 
 impl Agent {
+    /// Accepts what may start, and refuses the rest for good.
     pub(super) fn start(
         &mut self,
         now: Instant,
@@ -138,6 +139,7 @@
         Some(task.report())
     }
 
+    /// Tells of placements; one that was not seen is refused for good.
     pub(super) fn probe(
         &mut self,
         now: Instant,
@@ -160,6 +162,7 @@
         self.send_report(now, from, reports, effects);
     }
 
+    /// Tells a new owner of a submission's tasks, and obeys no older one of its slice.
     pub(super) fn query(
         &mut self,
         now: Instant,
--- a/crates/bulrushlatch_core/src/process/membership/mod.rs
+++ b/crates/bulrushlatch_core/src/process/membership/mod.rs
@@ -24,6 +24,8 @@
     version::{policy::is_drained, settings::SettingsTree, stream::StreamReader, view::View},
 };
 
+/// Time after which what is no longer used is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
 /// Allowance for clocks that do not run at the same rate, and for the time of an answer.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
@@ -270,6 +272,7 @@
         agents: &AgentTable,
         effects: &mut Vec<Effect>,
     ) {
+        self.forget_old(now);
         let silent_agents = self.silent_agents(now, agents);
         self.send_heartbeats(now, &silent_agents, effects);
         if !self.is_synced() {
@@ -320,6 +323,16 @@
         self.peers.get(&peer).map(|peer| peer.settings_offset)
     }
 
+    /// Forgets entries that are gone, and writes that need not be held back any more.
+    fn forget_old(&mut self, now: Instant) {
+        let view = Arc::clone(self.view());
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < FORGET_AFTER;
+        self.peers.retain(|incarnation, peer| {
+            view.members.contains_key(incarnation) || is_recent(peer.last_heard)
+        });
+        self.last_writes.retain(|_, at| is_recent(*at));
+    }
+
     fn after_change(&mut self, now: Instant, mut change: StateChange) -> StateChange {
         if change.view {
             self.view_since = now;
--- a/crates/bulrushlatch_core/src/process/shard/answering.rs
+++ b/crates/bulrushlatch_core/src/process/shard/answering.rs
@@ -137,6 +137,9 @@
                 self.take_job(&submission_id);
             }
         }
+        while self.with_results.front().is_some_and(|id| !self.jobs.contains_key(id)) {
+            self.with_results.pop_front();
+        }
         let Some(oldest) = moment.now.checked_sub(self.id_lifetime()) else { return };
         while let Some(submission_id) = self.known.next_expired(oldest) {
             if self.jobs.contains_key(&submission_id) {
--- a/crates/bulrushlatch_core/src/process/task_memory.rs
+++ b/crates/bulrushlatch_core/src/process/task_memory.rs
@@ -5,9 +5,13 @@
     time::Instant,
 };
 
-use bulrushlatch_protocol::ids::{Epoch, SubmissionId, TaskIndex};
+use bulrushlatch_protocol::{
+    answer::Reason,
+    ids::{Epoch, SubmissionId, TaskIndex},
+    verdict::Verdict,
+};
 
-use crate::message::{Attempt, Placement, TaskReport, TaskReportState};
+use crate::message::{Attempt, Placement, TaskError, TaskReport, TaskReportState};
 
 /// Every task that the agent accepted, and every placement that it refused for good.
 ///
@@ -20,6 +24,9 @@
     refused: BTreeMap<(SubmissionId, TaskIndex), RefusedTask>,
     refused_order: VecDeque<(Instant, SubmissionId, TaskIndex)>,
     accepted_len: usize,
+    /// Tasks that have a result, in the order in which they ended.
+    results_order: VecDeque<(SubmissionId, TaskIndex)>,
+    result_bytes: usize,
 }
 
 /// A task that was accepted.
@@ -70,6 +77,37 @@
         self.accepted_len += usize::from(replaced.is_none());
     }
 
+    /// Notes that a task has its result, and drops the oldest results beyond `max_bytes`.
+    ///
+    /// The task stays remembered: it ran, and only its result is gone.
+    pub fn note_result(
+        &mut self,
+        submission_id: &SubmissionId,
+        index: TaskIndex,
+        max_bytes: usize,
+    ) {
+        let Some(task) = self.get(submission_id, index) else { return };
+        self.result_bytes += task.result_bytes();
+        self.results_order.push_back((submission_id.clone(), index));
+        while self.result_bytes > max_bytes {
+            let Some((submission_id, index)) = self.results_order.pop_front() else { return };
+            self.drop_result(&submission_id, index);
+        }
+    }
+
+    fn drop_result(&mut self, submission_id: &str, index: TaskIndex) {
+        let Some(task) = self.get_mut(submission_id, index) else { return };
+        let bytes = task.result_bytes();
+        if bytes > 0 {
+            task.state = TaskReportState::Failed(TaskError {
+                ran: Verdict::Ran,
+                reason: Reason::ResultsDropped,
+                message: "it ran, but its result is no longer kept".to_owned(),
+            });
+        }
+        self.result_bytes = self.result_bytes.saturating_sub(bytes);
+    }
+
     /// Returns whether a placement was refused for good.
     pub fn is_refused(&self, placement: &Placement) -> bool {
         let key = (placement.submission_id.clone(), placement.index);
@@ -130,11 +168,20 @@
     }
 
     fn remove_accepted(&mut self, submission_id: &str, index: TaskIndex) {
+        let bytes = self.get(submission_id, index).map_or(0, AcceptedTask::result_bytes);
+        self.result_bytes = self.result_bytes.saturating_sub(bytes);
         let Some(tasks) = self.accepted.get_mut(submission_id) else { return };
         self.accepted_len -= usize::from(tasks.remove(&index).is_some());
         if tasks.is_empty() {
             self.accepted.remove(submission_id);
         }
+        let accepted = &self.accepted;
+        let is_forgotten = |(id, index): &(SubmissionId, TaskIndex)| {
+            accepted.get(id).is_none_or(|tasks| !tasks.contains_key(index))
+        };
+        while self.results_order.front().is_some_and(is_forgotten) {
+            self.results_order.pop_front();
+        }
     }
 }
 
@@ -147,6 +194,14 @@
         is_newer && error.ran.allows_another_placement()
     }
 
+    /// Returns the size of the result that is kept.
+    fn result_bytes(&self) -> usize {
+        match &self.state {
+            TaskReportState::Done(done) => done.result.get().len(),
+            _ => 0,
+        }
+    }
+
     /// Returns the report on the task.
     pub fn report(&self) -> TaskReport {
         TaskReport { placement: self.placement.clone(), state: self.state.clone() }
