Place only on agents of the same view that makes the entry the owner

The shared table of agents had the new view's agents before its shards had given up their slices, and the change of settings placed tasks in between: in the old epoch, on an agent that had joined after the next owner asked all agents, and so had no fence. Ruled out: the fence itself, which refused the two starts sent to the agent that had been asked. A shard now places only on agents of its own view, whatever the table has, and takes a view before settings.

--- a/crates/bulrushlatch_core/src/process/entry/mod.rs
+++ b/crates/bulrushlatch_core/src/process/entry/mod.rs
@@ -281,12 +281,12 @@
         }
         for shard in &self.shards {
             let mut shard = lock(shard);
-            if change.settings {
-                shard.apply_settings(moment, settings, effects);
-            }
             if change.view || change.reborn {
                 shard.apply_view(moment, view, incarnation, effects);
             }
+            if change.settings {
+                shard.apply_settings(moment, settings, effects);
+            }
         }
     }
 
--- a/crates/bulrushlatch_core/src/process/shard/dispatch.rs
+++ b/crates/bulrushlatch_core/src/process/shard/dispatch.rs
@@ -134,6 +134,8 @@
             }
             let silence = self.limits.silence;
             candidates = agents.candidates(moment.now, silence, &self.zone, service, task.slots);
+            // The table may be of a later view, in which another entry owns the slice.
+            candidates.retain(|candidate| self.view.agents.contains_key(&candidate.agent));
             !candidates.is_empty()
         };
         let task = self.queue.pop(service, weight_of, fits)?;
--- a/crates/bulrushlatch_core/tests/promises/main.rs
+++ b/crates/bulrushlatch_core/tests/promises/main.rs
@@ -79,6 +79,7 @@
     for (number, faults) in found {
         check(number, &faults);
     }
+    check(1_772_991_065, &[Fault::TargetRefuses, Fault::FreezeEntry, Fault::LeaveAgent]);
     for number in 0..10 {
         check(8000 + number, &[Fault::Delay, Fault::Resubmit]);
         check(8100 + number, &[Fault::CutBothWays, Fault::KillAgent]);
