Note an agent's load once for each report

The entry noted it, and then every shard that had tasks in the report did again, after an earlier shard might have placed tasks on the strength of it: those placements were forgotten until the next report. Found by reading; not measured.

--- a/crates/bulrushlatch_core/src/process/shard/dispatch.rs
+++ b/crates/bulrushlatch_core/src/process/shard/dispatch.rs
@@ -51,7 +51,6 @@
         report: Report,
         effects: &mut Vec<Effect>,
     ) {
-        self.tables.agents().note_load(moment.now, from.incarnation, report.load);
         for task in report.tasks {
             self.take_task_report(moment, from.incarnation, task, effects);
         }
