--- a/crates/bulrushlatch_core/src/process/membership/writing.rs
+++ b/crates/bulrushlatch_core/src/process/membership/writing.rs
@@ -143,6 +143,7 @@
         }
     }
 
+    /// Appends a record, unless it was appended a moment ago.
     fn write(
         &mut self,
         now: Instant,
@@ -150,16 +151,13 @@
         record: &OwnershipRecord,
         effects: &mut Vec<Effect>,
     ) {
-        self.write_body(now, key, record_body::<View>(record), effects);
-    }
-
-    fn write_body(&mut self, now: Instant, key: WriteKey, body: String, effects: &mut Vec<Effect>) {
         let last_write = self.last_writes.get(&key);
         let is_recent = |&last: &Instant| now.saturating_duration_since(last) < self.limits.resend;
         if last_write.is_some_and(is_recent) {
             return;
         }
         self.last_writes.insert(key, now);
+        let body = record_body::<View>(record);
         effects.push(Effect::Append { stream: StreamName::Ownership, body });
     }
 }
