--- /dev/null
+++ b/crates/bulrushlatch_dispatch/src/agent/contact.rs
@@ -0,0 +1,64 @@
+//! What an agent keeps for each entry.
+
+use std::collections::VecDeque;
+
+use crate::{
+    clock::BootTime,
+    frame::Report,
+    ids::{LinkId, OrderNumber, ReportNumber},
+};
+
+/// What an agent knows of one life of an entry.
+#[derive(Debug)]
+pub struct Contact {
+    /// The open link, if there is one.
+    pub link: Option<LinkId>,
+    /// Newest stamp of ours that the entry sent back: it was alive after that time.
+    pub heard_at: BootTime,
+    /// Highest order processed.
+    pub orders_seen: OrderNumber,
+    /// Reports that the entry has not acknowledged, oldest first.
+    pub reports: VecDeque<Report>,
+    /// Number of the last report.
+    pub last_report: ReportNumber,
+    /// Highest report sent on the present link.
+    pub sent_report: ReportNumber,
+    /// When the last frame was sent.
+    pub sent_at: BootTime,
+    /// When the last frame arrived.
+    pub received_at: BootTime,
+    /// Whether there is news that should go out soon.
+    pub has_news: bool,
+}
+
+impl Contact {
+    /// Returns a contact that has not been heard from.
+    pub fn new(link: LinkId, now: BootTime) -> Self {
+        Self {
+            link: Some(link),
+            heard_at: BootTime::ZERO,
+            orders_seen: 0,
+            reports: VecDeque::new(),
+            last_report: 0,
+            sent_report: 0,
+            sent_at: BootTime::ZERO,
+            received_at: now,
+            has_news: true,
+        }
+    }
+
+    /// Keeps a report until it is acknowledged.
+    pub fn push(&mut self, mut report: Report) {
+        self.last_report += 1;
+        report.number = self.last_report;
+        self.reports.push_back(report);
+        self.has_news = true;
+    }
+
+    /// Forgets reports up to `seen`.
+    pub fn acknowledge(&mut self, seen: ReportNumber) {
+        while self.reports.front().is_some_and(|report| report.number <= seen) {
+            self.reports.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -0,0 +1,354 @@
+//! The process beside a target: the only place where tasks start.
+//!
+//! - [`run`]: one run in the ledger
+//! - [`contact`]: what is kept for each entry
+//! - [`target`]: what is known of the target
+//! - [`health`]: whether the target does its work
+
+pub mod contact;
+pub mod health;
+mod ledger;
+mod orders;
+pub mod run;
+pub mod target;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    clock::BootTime,
+    frame::{AgentFrame, Offer, Report},
+    ids::{Attempt, LinkId, ProcessId, TaskKey},
+    outcome::RunOutcome,
+    size::Size,
+    timing::Timing,
+};
+
+pub use self::ledger::BegunStart;
+
+use self::{
+    contact::Contact,
+    health::{Health, Trust},
+    run::Run,
+    target::{Announcement, Target, TargetFault, TargetId, TargetTimeMs},
+};
+
+/// Something the agent wants done at its target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TargetOrder {
+    /// Start the run in the ledger; ask [`Agent::begin_start`] for the order's content.
+    Start(TaskKey),
+    /// Stop a run, named as the target knows it.
+    Stop(StopOrder),
+}
+
+/// An order to stop a run at the target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StopOrder {
+    /// The life of the target.
+    pub target: TargetId,
+    /// The task, if it is one of ours.
+    pub task: Option<TaskKey>,
+    /// The task's name at the target, for a run that is not ours.
+    pub name: String,
+    /// Number of the start.
+    pub attempt: Attempt,
+}
+
+/// Counters since the start of the process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AgentCounters {
+    /// Start orders taken.
+    pub starts: u64,
+    /// Runs that were done.
+    pub done: u64,
+    /// Runs that failed.
+    pub failed: u64,
+    /// Runs that were stopped.
+    pub stopped: u64,
+    /// Runs whose lease or target ended.
+    pub lost: u64,
+    /// Start orders that began nothing.
+    pub not_started: u64,
+    /// Runs stopped because their entry fell silent.
+    pub orphaned: u64,
+    /// Runs at the target that this process had not ordered.
+    pub strangers: u64,
+    /// Looks without renewal because an overdue stop was not confirmed.
+    pub withheld_renewals: u64,
+}
+
+/// The decisions of an agent.
+#[derive(Debug)]
+pub struct Agent {
+    timing: Timing,
+    target: Option<Target>,
+    /// Lives of the target that are over; what they still say is ignored.
+    retired: BTreeSet<TargetId>,
+    runs: BTreeMap<TaskKey, Run>,
+    contacts: BTreeMap<ProcessId, Contact>,
+    health: Health,
+    is_leaving: bool,
+    released_cpu_millis: u64,
+    counters: AgentCounters,
+    orders: Vec<TargetOrder>,
+}
+
+impl Agent {
+    /// Returns an agent that knows no target yet.
+    pub fn new(timing: Timing) -> Self {
+        Self {
+            timing,
+            target: None,
+            retired: BTreeSet::new(),
+            runs: BTreeMap::new(),
+            contacts: BTreeMap::new(),
+            health: Health::default(),
+            is_leaving: false,
+            released_cpu_millis: 0,
+            counters: AgentCounters::default(),
+            orders: Vec::new(),
+        }
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> AgentCounters {
+        self.counters
+    }
+
+    /// Returns the id of the target's present life.
+    pub fn target_id(&self) -> Option<&TargetId> {
+        self.target.as_ref().map(|target| &target.announcement.id)
+    }
+
+    /// Returns whether runs are left.
+    pub fn is_idle(&self) -> bool {
+        self.runs.is_empty()
+    }
+
+    /// Returns what is to be done at the target.
+    pub fn take_orders(&mut self) -> Vec<TargetOrder> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Takes no new tasks from now on.
+    pub fn begin_shutdown(&mut self) {
+        self.is_leaving = true;
+        self.note_news();
+    }
+
+    /// Takes what a target says of itself.
+    pub fn announced(&mut self, now: BootTime, announcement: Announcement) {
+        if self.retired.contains(&announcement.id) {
+            tracing::info!(target = %announcement.id, "announcement of a past target ignored");
+            return;
+        }
+        if let Some(target) = &mut self.target {
+            if target.announcement.id == announcement.id {
+                if target.announcement.sequence < announcement.sequence {
+                    let was_leaving = target.announcement.is_leaving;
+                    let is_leaving = announcement.is_leaving;
+                    target.announcement = announcement;
+                    if was_leaving != is_leaving {
+                        tracing::info!(target = %target.announcement.id, is_leaving, "target changed state");
+                        self.note_news();
+                    }
+                }
+                return;
+            }
+            let limit = self.timing.contact_limit;
+            let is_present = target.answered_at.is_some_and(|at| now.saturating_sub(at) < limit);
+            if is_present {
+                tracing::info!(
+                    target = %target.announcement.id, other = %announcement.id,
+                    "announcement of another target ignored while the present one answers"
+                );
+                return;
+            }
+            self.retire_target(now);
+        }
+        tracing::info!(
+            target = %announcement.id, service = %announcement.service,
+            cpu_millis = announcement.capacity.cpu_millis, "target found"
+        );
+        self.target = Some(Target::new(announcement));
+        self.health = Health::default();
+        self.note_news();
+    }
+
+    /// Takes word that the target has left.
+    pub fn left(&mut self, now: BootTime, id: &TargetId) {
+        if self.target_id() == Some(id) {
+            self.retire_target(now);
+        }
+    }
+
+    /// Takes the failure of a look at the target.
+    pub fn look_failed(&mut self, now: BootTime, id: &TargetId, fault: TargetFault) {
+        if self.target_id() != Some(id) {
+            return;
+        }
+        match fault {
+            TargetFault::Absent | TargetFault::OtherTarget => self.retire_target(now),
+            TargetFault::NoAnswer => {}
+        }
+    }
+
+    /// Ends the present life of the target: its runs are over.
+    fn retire_target(&mut self, now: BootTime) {
+        let Some(target) = self.target.take() else { return };
+        tracing::info!(target = %target.announcement.id, runs = self.runs.len(), "target lost");
+        self.retired.insert(target.announcement.id);
+        while self.retired.len() > MOST_RETIRED {
+            self.retired.pop_first();
+        }
+        for task in self.runs.keys().cloned().collect::<Vec<_>>() {
+            self.finish(now, &task, RunOutcome::Lost);
+        }
+        self.note_news();
+    }
+
+    /// Opens a link to an entry.
+    pub fn link_up(&mut self, now: BootTime, entry: ProcessId, link: LinkId) {
+        let contact = self.contacts.entry(entry).or_insert_with(|| Contact::new(link, now));
+        contact.link = Some(link);
+        contact.received_at = now;
+        // What was sent on the old link may be lost.
+        contact.sent_report = 0;
+        contact.has_news = true;
+    }
+
+    /// Closes a link to an entry.
+    pub fn link_down(&mut self, entry: &ProcessId, link: LinkId) {
+        if let Some(contact) = self.contacts.get_mut(entry)
+            && contact.link == Some(link)
+        {
+            contact.link = None;
+        }
+    }
+
+    /// Returns links on which nothing has arrived for so long that a new one should be tried.
+    pub fn silent_links(&self, now: BootTime) -> Vec<LinkId> {
+        let limit = self.timing.contact_limit.mul_f64(SILENT_LINK_SHARE);
+        let contacts = self.contacts.values();
+        let silent = contacts.filter(|contact| now.saturating_sub(contact.received_at) > limit);
+        silent.filter_map(|contact| contact.link).collect()
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: BootTime) {
+        self.stop_orphans(now);
+        self.repeat_stops(now);
+        self.give_up_silent_target(now);
+        let limit = self.timing.settled_after() * 4;
+        self.contacts.retain(|_, contact| {
+            contact.link.is_some() || now.saturating_sub(contact.heard_at) < limit
+        });
+    }
+
+    /// Returns the frames that are due; `pause` is the shortest time between two on one link.
+    pub fn frames(
+        &mut self,
+        now: BootTime,
+        pause: std::time::Duration,
+    ) -> Vec<(LinkId, AgentFrame)> {
+        let offer = self.offer(now);
+        let heartbeat = self.timing.heartbeat;
+        let mut frames = Vec::new();
+        for contact in self.contacts.values_mut() {
+            let Some(link) = contact.link else { continue };
+            let since = now.saturating_sub(contact.sent_at);
+            let has_reports = contact.sent_report < contact.last_report;
+            if !(has_reports || since >= heartbeat || (contact.has_news && since >= pause)) {
+                continue;
+            }
+            let sent = contact.sent_report;
+            let new = contact.reports.iter().filter(|report| report.number > sent);
+            let reports: Vec<Report> = new.cloned().collect();
+            contact.sent_report = contact.last_report;
+            contact.sent_at = now;
+            contact.has_news = false;
+            let stamp_ms = now.as_millis() as u64;
+            let orders_seen = contact.orders_seen;
+            frames
+                .push((link, AgentFrame { stamp_ms, orders_seen, offer: offer.clone(), reports }));
+        }
+        frames
+    }
+
+    /// Returns whether a frame should go out before the next heartbeat.
+    pub fn has_news(&self) -> bool {
+        self.contacts.values().any(|contact| contact.link.is_some() && contact.has_news)
+    }
+
+    fn offer(&self, now: BootTime) -> Offer {
+        let released_cpu_millis = self.released_cpu_millis;
+        let Some(target) = &self.target else {
+            return Offer { released_cpu_millis, ..Offer::default() };
+        };
+        let announcement = &target.announcement;
+        Offer {
+            service: announcement.service.clone(),
+            labels: announcement.labels.clone(),
+            zone: announcement.zone.clone(),
+            total: announcement.capacity,
+            free: self.free(now),
+            accepts: self.accepts(now),
+            released_cpu_millis,
+        }
+    }
+
+    /// Returns what the target has left, counting runs until their ends are known.
+    fn free(&self, now: BootTime) -> Size {
+        let Some(target) = &self.target else { return Size::default() };
+        if now < target.full_until {
+            return Size::default();
+        }
+        let mut taken = Size::default();
+        for run in self.runs.values() {
+            taken.add(&run.size);
+        }
+        target.announcement.capacity.without(&taken)
+    }
+
+    fn accepts(&self, now: BootTime) -> bool {
+        let Some(target) = &self.target else { return false };
+        let limit = self.timing.contact_limit;
+        let is_present = target.answered_at.is_some_and(|at| now.saturating_sub(at) < limit);
+        let is_trusted = match self.health.trust(now) {
+            Trust::Full => true,
+            Trust::Probation => self.runs.is_empty(),
+            Trust::Suspended => false,
+        };
+        is_present && is_trusted && !self.is_leaving && !target.announcement.is_leaving
+    }
+
+    /// Returns the end of the lease to ask for, unless an overdue stop has not been confirmed.
+    pub fn renewal(&mut self, now: BootTime) -> Option<TargetTimeMs> {
+        self.stop_orphans(now);
+        let overdue_after = self.timing.contact_limit + self.timing.stop_grace;
+        let contacts = &self.contacts;
+        let is_overdue = self.runs.values().any(|run| {
+            let heard_at = contacts.get(&run.owner).map_or(BootTime::ZERO, |it| it.heard_at);
+            now.saturating_sub(heard_at) > overdue_after
+        });
+        if is_overdue {
+            self.counters.withheld_renewals += 1;
+            return None;
+        }
+        let longest = self.timing.longest_lease();
+        let lease = self.timing.lease;
+        self.target.as_mut().map(|target| target.lease(now, lease, longest))
+    }
+
+    fn note_news(&mut self) {
+        for contact in self.contacts.values_mut() {
+            contact.has_news = true;
+        }
+    }
+}
+
+/// Past lives of targets that are remembered: more than start beside one agent in a day.
+const MOST_RETIRED: usize = 64;
+/// Share of the contact limit without a frame after which a link is replaced, which leaves time for
+/// a new one before the entry counts as silent.
+const SILENT_LINK_SHARE: f64 = 0.6;
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/src/entry/admission.rs
@@ -0,0 +1,69 @@
+//! Whether a job is taken or refused when it arrives.
+
+use std::time::Duration;
+
+/// Shortest time after which a refused caller may come back: whole seconds are the finest step of
+/// the header that says so.
+const SHORTEST_RETRY: Duration = Duration::from_secs(1);
+/// Longest time that a refused caller is told to wait.
+const LONGEST_RETRY: Duration = Duration::from_secs(8);
+/// Range over which returns are spread, so that callers refused together do not return together.
+const RETRY_SPREAD: Duration = Duration::from_secs(2);
+
+/// What a job asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    /// Processor that its first tasks take together, in thousandths of a core.
+    pub cpu_millis: u64,
+    /// Longest wait after which its answer is still of use.
+    pub patience: Duration,
+}
+
+/// What there is for a job.
+#[derive(Clone, Copy, Debug)]
+pub struct Supply {
+    /// Free processor at targets that take work, in thousandths of a core.
+    pub free_cpu_millis: u64,
+    /// Processor that jobs before this one wait for.
+    pub queued_cpu_millis: u64,
+    /// This entry's part of the processor set free in a second.
+    pub released_cpu_millis_per_s: f64,
+}
+
+/// What to do with a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Take it; it waits about so long.
+    Take {
+        /// The expected wait.
+        wait: Duration,
+    },
+    /// Refuse it.
+    Refuse {
+        /// The expected wait, which is too long.
+        wait: Duration,
+    },
+}
+
+/// Decides on a job from what is known when it arrives.
+pub fn decide(demand: &Demand, supply: &Supply) -> Admission {
+    let wait = expected_wait(demand, supply);
+    if wait <= demand.patience { Admission::Take { wait } } else { Admission::Refuse { wait } }
+}
+
+/// Returns the time until the last of a job's first tasks can start.
+pub fn expected_wait(demand: &Demand, supply: &Supply) -> Duration {
+    let wanted = supply.queued_cpu_millis + demand.cpu_millis;
+    let missing = wanted.saturating_sub(supply.free_cpu_millis);
+    if missing == 0 {
+        return Duration::ZERO;
+    }
+    let seconds = missing as f64 / supply.released_cpu_millis_per_s.max(1.0);
+    Duration::from_secs_f64(seconds.min(LONGEST_RETRY.as_secs_f64()))
+}
+
+/// Returns when a refused caller may come back; `draw` is a random share from 0 to 1.
+pub fn retry_after(wait: Duration, draw: f64) -> Duration {
+    let spread = RETRY_SPREAD.mul_f64(draw);
+    (wait + spread).clamp(SHORTEST_RETRY, LONGEST_RETRY)
+}
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -0,0 +1,173 @@
+//! What an entry knows of one life of an agent.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use crate::{
+    clock::BootTime,
+    frame::{Action, AgentFrame, EntryFrame, Offer, Order},
+    ids::{LinkId, OrderNumber, ReportNumber, TaskKey},
+    size::Size,
+    timing::Timing,
+};
+
+/// Share of the contact limit without a frame after which nothing new is placed at an agent.
+const FRESH_SHARE: f64 = 0.5;
+
+/// An order that the agent has not confirmed yet.
+#[derive(Clone, Debug)]
+struct UnseenOrder {
+    number: OrderNumber,
+    /// The task and its size, for a start.
+    start: Option<(TaskKey, Size)>,
+}
+
+/// One life of an agent.
+#[derive(Debug)]
+pub struct AgentView {
+    /// The open link, if there is one.
+    pub link: Option<LinkId>,
+    /// What the agent said it can take.
+    pub offer: Offer,
+    /// When its last frame arrived; it stops our runs a bounded time after we sent that stamp back.
+    pub received_at: BootTime,
+    /// Whether a frame has arrived on the present link.
+    is_synced: bool,
+    stamp_ms: u64,
+    reports_seen: ReportNumber,
+    last_order: OrderNumber,
+    pending: Vec<Order>,
+    unseen: VecDeque<UnseenOrder>,
+    sent_at: BootTime,
+    /// Our runs there, with the order that began each.
+    pub runs: BTreeMap<TaskKey, OrderNumber>,
+    /// Run time over the caller's estimate, against that of all agents; 1 is average.
+    pub slowness: f64,
+}
+
+impl AgentView {
+    /// Returns an agent whose link has just been opened.
+    pub fn new(link: LinkId, now: BootTime) -> Self {
+        Self {
+            link: Some(link),
+            offer: Offer::default(),
+            received_at: now,
+            is_synced: false,
+            stamp_ms: 0,
+            reports_seen: 0,
+            last_order: 0,
+            pending: Vec::new(),
+            unseen: VecDeque::new(),
+            sent_at: BootTime::ZERO,
+            runs: BTreeMap::new(),
+            slowness: 1.0,
+        }
+    }
+
+    /// Takes a new link.
+    pub fn link_up(&mut self, link: LinkId) {
+        self.link = Some(link);
+        self.is_synced = false;
+        self.sent_at = BootTime::ZERO;
+    }
+
+    /// Loses its link.
+    pub fn link_down(&mut self, link: LinkId) {
+        if self.link == Some(link) {
+            self.link = None;
+            self.is_synced = false;
+        }
+    }
+
+    /// Takes a frame; returns the tasks of start orders that never reached the agent, and how much
+    /// processor was set free since the last frame, in thousandths of a core.
+    pub fn receive(&mut self, now: BootTime, frame: &AgentFrame) -> (Vec<TaskKey>, u64) {
+        while self.unseen.front().is_some_and(|order| order.number <= frame.orders_seen) {
+            self.unseen.pop_front();
+        }
+        let mut undelivered = Vec::new();
+        if !self.is_synced {
+            self.is_synced = true;
+            self.pending.clear();
+            let lost = self.unseen.drain(..);
+            undelivered.extend(lost.filter_map(|order| order.start.map(|(task, _)| task)));
+        }
+        let before = self.offer.released_cpu_millis;
+        let released = if before == 0 {
+            0
+        } else {
+            frame.offer.released_cpu_millis - before.min(frame.offer.released_cpu_millis)
+        };
+        self.offer = frame.offer.clone();
+        self.received_at = now;
+        self.stamp_ms = frame.stamp_ms;
+        (undelivered, released)
+    }
+
+    /// Returns whether a report is new, and notes it.
+    pub fn is_new_report(&mut self, number: ReportNumber) -> bool {
+        let is_new = number > self.reports_seen;
+        self.reports_seen = self.reports_seen.max(number);
+        is_new
+    }
+
+    /// Returns whether the agent was heard from lately.
+    pub fn is_fresh(&self, now: BootTime, timing: &Timing) -> bool {
+        let limit = timing.contact_limit.mul_f64(FRESH_SHARE);
+        self.link.is_some() && self.is_synced && now.saturating_sub(self.received_at) <= limit
+    }
+
+    /// Returns whether new tasks may be placed there.
+    pub fn is_open(&self, now: BootTime, timing: &Timing) -> bool {
+        self.offer.accepts && self.is_fresh(now, timing)
+    }
+
+    /// Returns whether no run of ours can be left there although nothing has been heard.
+    pub fn is_settled(&self, now: BootTime, timing: &Timing) -> bool {
+        now > self.received_at + timing.settled_after()
+    }
+
+    /// Returns what is free, less what our orders under way will take.
+    pub fn free(&self) -> Size {
+        let mut free = self.offer.free;
+        for (_, size) in self.unseen.iter().filter_map(|order| order.start.as_ref()) {
+            free = free.without(size);
+        }
+        free
+    }
+
+    /// Adds an order to the next frame; returns its number.
+    pub fn order(&mut self, action: Action) -> OrderNumber {
+        self.last_order += 1;
+        let number = self.last_order;
+        let start = match &action {
+            Action::Start(start) => {
+                self.runs.insert(start.task.clone(), number);
+                Some((start.task.clone(), start.size))
+            }
+            Action::Stop { .. } => None,
+        };
+        self.unseen.push_back(UnseenOrder { number, start });
+        self.pending.push(Order { number, action });
+        number
+    }
+
+    /// Returns the frame that is due, if any.
+    pub fn frame(&mut self, now: BootTime, heartbeat: Duration) -> Option<(LinkId, EntryFrame)> {
+        let link = self.link?;
+        let is_due = now.saturating_sub(self.sent_at) >= heartbeat;
+        if !self.is_synced || (self.pending.is_empty() && !is_due) {
+            return None;
+        }
+        self.sent_at = now;
+        let frame = EntryFrame {
+            stamp_echo_ms: self.stamp_ms,
+            reports_seen: self.reports_seen,
+            orders: std::mem::take(&mut self.pending),
+            entries: Vec::new(),
+        };
+        Some((link, frame))
+    }
+}
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
@@ -0,0 +1,203 @@
+//! Calls of callers.
+
+use std::time::Duration;
+
+use crate::{
+    clock::BootTime,
+    ids::{CallerId, JobId},
+    job::JobRequest,
+    outcome::{Answer, Refusal},
+    routing::Route,
+};
+
+use super::{
+    Entry,
+    admission::{self, Admission, Demand, Supply},
+    job_state::{JobState, TaskState},
+};
+
+/// When callers may come back to an entry that cannot serve yet.
+const RETRY_SOON: Duration = Duration::from_secs(1);
+/// Most tasks of a job.
+const MOST_TASKS: u32 = 10_000;
+/// Time for messages that is taken off a job's time to wait.
+const MESSAGE_TIME: Duration = Duration::from_millis(8);
+
+/// A job and where it arrived.
+#[derive(Debug)]
+pub struct Submission {
+    /// Who waits for the answer.
+    pub caller: CallerId,
+    /// Host that the request named.
+    pub route: Route,
+    /// The job.
+    pub request: JobRequest,
+    /// How long the caller waits; as long as it takes if not said.
+    pub patience: Option<Duration>,
+}
+
+impl Entry {
+    /// Takes a job. The answer comes by [`Entry::take_answers`].
+    pub fn submit(&mut self, now: BootTime, submission: Submission) {
+        self.observe(now);
+        self.counters.arrived += 1;
+        let job = submission.request.id.clone();
+        if let Some(state) = self.jobs.get_mut(&job) {
+            tracing::info!(%job, "submitted again while open: attached");
+            state.callers.push(submission.caller);
+            self.callers.insert(submission.caller, job);
+            return;
+        }
+        if let Some(answer) = self.kept.get(&job) {
+            tracing::info!(%job, %answer, "submitted again: kept answer");
+            self.answers.push((submission.caller, answer));
+            return;
+        }
+        if let Some(refusal) = self.obstacle(&submission.request) {
+            self.refuse(now, submission.caller, &job, refusal, Duration::ZERO);
+            return;
+        }
+        self.admit(now, submission);
+    }
+
+    /// Takes word that a caller no longer waits.
+    pub fn caller_gone(&mut self, now: BootTime, caller: CallerId) {
+        self.observe(now);
+        let Some(job) = self.callers.remove(&caller) else { return };
+        let Some(state) = self.jobs.get_mut(&job) else { return };
+        state.callers.retain(|&other| other != caller);
+        if state.callers.is_empty() {
+            self.counters.abandoned += 1;
+            tracing::info!(%job, "caller gone: stopping the job");
+            self.end_job(now, &job, Answer::Interrupted);
+            self.place_waiting(now);
+        }
+    }
+
+    /// Cancels a job; returns whether it is known here.
+    pub fn cancel(&mut self, now: BootTime, job: &JobId) -> bool {
+        self.observe(now);
+        if !self.jobs.contains_key(job) {
+            return false;
+        }
+        tracing::info!(%job, "cancelled");
+        self.end_job(now, job, Answer::Cancelled);
+        self.place_waiting(now);
+        true
+    }
+
+    /// Returns the state of a job.
+    pub fn state(&self, job: &JobId) -> Answer {
+        if self.jobs.contains_key(job) { Answer::Running } else { Answer::UnknownJob }
+    }
+
+    /// Returns the number of a route's jobs of which nothing has started.
+    pub fn pending(&self, route: &Route) -> usize {
+        let jobs = self.jobs.values();
+        jobs.filter(|job| job.route.name == route.name && !job.may_have_run()).count()
+    }
+
+    fn obstacle(&self, request: &JobRequest) -> Option<Refusal> {
+        let tasks: u32 = request.steps.iter().map(|step| step.tasks).sum();
+        if self.is_leaving {
+            Some(Refusal::ShuttingDown)
+        } else if request.unsupported.is_some() {
+            Some(Refusal::Unsupported)
+        } else if tasks == 0 || tasks > MOST_TASKS {
+            Some(Refusal::Malformed)
+        } else {
+            None
+        }
+    }
+
+    fn admit(&mut self, now: BootTime, submission: Submission) {
+        let Submission { caller, route, request, patience } = submission;
+        let job = request.id.clone();
+        let work = self.expected_work(&route, &request);
+        let objective = route.objective(work);
+        let demand = Demand {
+            cpu_millis: request.first_demand().cpu_millis,
+            patience: objective.saturating_sub(work).saturating_sub(MESSAGE_TIME),
+        };
+        let Some(supply) = self.supply(now, &route) else {
+            self.refuse(now, caller, &job, Refusal::NoTarget, Duration::ZERO);
+            return;
+        };
+        if let Admission::Refuse { wait } = admission::decide(&demand, &supply) {
+            tracing::info!(
+                %job, route = %route.name, cpu_millis = demand.cpu_millis,
+                patience_ms = demand.patience.as_millis() as u64,
+                free_cpu_millis = supply.free_cpu_millis, queued_cpu_millis = supply.queued_cpu_millis,
+                released_cpu_millis_per_s = supply.released_cpu_millis_per_s as u64,
+                wait_ms = wait.as_millis() as u64, "refused on arrival"
+            );
+            self.refuse(now, caller, &job, Refusal::Overloaded, wait);
+            return;
+        }
+        let steps =
+            request.steps.iter().map(|step| vec![TaskState::default(); step.tasks as usize]);
+        let mut state = JobState {
+            steps: steps.collect(),
+            callers: vec![caller],
+            arrived_at: now,
+            deadline_at: patience.map_or(BootTime::MAX, |patience| now + patience),
+            objective_at: now + objective,
+            has_run: false,
+            request,
+            route,
+        };
+        let latest_start = (now + demand.patience).min(state.deadline_at);
+        for task in state.unblock() {
+            self.waiting.insert((latest_start, task));
+        }
+        self.callers.insert(caller, job.clone());
+        self.jobs.insert(job, state);
+        self.place_waiting(now);
+    }
+
+    /// Returns the run time to expect of a job's longest chain.
+    pub(super) fn expected_work(&self, route: &Route, request: &JobRequest) -> Duration {
+        self.run_times.expected(&route.name, request.longest_chain())
+    }
+
+    /// Returns what there is for a job of a route; none if no agent takes its service's work.
+    fn supply(&self, now: BootTime, route: &Route) -> Option<Supply> {
+        let agents = self.agents.values().filter(|agent| {
+            agent.offer.service == route.service && agent.is_open(now, &self.timing)
+        });
+        let mut free_cpu_millis = 0;
+        let mut count = 0;
+        for agent in agents {
+            free_cpu_millis += agent.free().cpu_millis;
+            count += 1;
+        }
+        let queued = self.waiting.iter().filter_map(|(_, task)| {
+            let job = self.jobs.get(&task.job).filter(|job| job.route.service == route.service)?;
+            job.request.steps.get(task.step as usize)
+        });
+        let queued_cpu_millis = queued.map(|step| step.size.cpu_millis).sum();
+        let released_cpu_millis_per_s = self.released.cpu_millis_per_s() / f64::from(self.entries);
+        let supply = Supply { free_cpu_millis, queued_cpu_millis, released_cpu_millis_per_s };
+        (count > 0).then_some(supply)
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        now: BootTime,
+        caller: CallerId,
+        job: &JobId,
+        reason: Refusal,
+        wait: Duration,
+    ) {
+        self.counters.refused += 1;
+        let retry_after = match reason {
+            Refusal::Overloaded => admission::retry_after(wait, self.rng.f64()),
+            _ => admission::retry_after(RETRY_SOON, self.rng.f64()),
+        };
+        if reason != Refusal::Overloaded {
+            let version = self.version();
+            tracing::info!(%job, %reason, version, agents = self.agents.len(), at_ms = now.as_millis() as u64, "refused");
+        }
+        self.answers.push((caller, Answer::Refused { reason, retry_after }));
+    }
+}
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -0,0 +1,139 @@
+//! Placing tasks, and stopping runs that stand still.
+
+use std::time::Duration;
+
+use crate::{
+    clock::BootTime,
+    frame::{Action, StartOrder},
+    ids::{ProcessId, TaskKey},
+};
+
+use super::{
+    Entry,
+    job_state::Phase,
+    placement::{self, Candidate},
+};
+
+/// Multiple of its expected time after which a run is taken as stuck: estimates are often off by
+/// two, and targets differ.
+const STUCK_FACTOR: f64 = 3.0;
+/// Added to it, for messages and short tasks.
+const STUCK_MARGIN: Duration = Duration::from_millis(100);
+
+impl Entry {
+    /// Places waiting tasks, the most urgent first, as long as there is room.
+    pub(super) fn place_waiting(&mut self, now: BootTime) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let waiting: Vec<(BootTime, TaskKey)> = self.waiting.iter().cloned().collect();
+        for (latest_start, task) in waiting {
+            if !self.has_any_room(now) {
+                return;
+            }
+            if self.place(now, &task) {
+                self.waiting.remove(&(latest_start, task));
+            }
+        }
+    }
+
+    fn has_any_room(&self, now: BootTime) -> bool {
+        self.agents
+            .values()
+            .any(|agent| agent.is_open(now, &self.timing) && agent.offer.free.cpu_millis > 0)
+    }
+
+    /// Places one task; returns whether it no longer waits.
+    fn place(&mut self, now: BootTime, key: &TaskKey) -> bool {
+        let Some(agent) = self.choose_agent(now, key) else {
+            return self.jobs.get(&key.job).is_none();
+        };
+        let Some(job) = self.jobs.get_mut(&key.job) else { return true };
+        let Some(step) = job.request.steps.get(key.step as usize) else { return true };
+        let (size, payload) = (step.size, job.request.payload.clone());
+        let Some(task) = job.task_mut(key) else { return true };
+        task.attempt += 1;
+        let start = StartOrder { task: key.clone(), attempt: task.attempt, payload, size };
+        let Some(view) = self.agents.get_mut(&agent) else { return false };
+        let order = view.order(Action::Start(start));
+        task.phase = Phase::Placed { agent, order, since: now, is_stopping: false };
+        self.counters.starts += 1;
+        true
+    }
+
+    fn choose_agent(&mut self, now: BootTime, key: &TaskKey) -> Option<ProcessId> {
+        let job = self.jobs.get(&key.job)?;
+        let step = job.request.steps.get(key.step as usize)?;
+        let task = job.task(key)?;
+        let rng = &mut self.rng;
+        let open = self.agents.iter().filter(|(_, view)| {
+            view.offer.service == job.route.service && view.is_open(now, &self.timing)
+        });
+        let candidates = open.map(|(agent, view)| Candidate {
+            agent,
+            free: view.free(),
+            total: view.offer.total,
+            labels: &view.offer.labels,
+            is_near: view.offer.zone == self.zone,
+            slowness: view.slowness,
+            same_step: view
+                .runs
+                .keys()
+                .filter(|run| run.job == key.job && run.step == key.step)
+                .count() as u32,
+        });
+        let candidates: Vec<Candidate<'_>> = candidates.collect();
+        let is_avoided = |it: &Candidate<'_>| task.avoided.contains(it.agent);
+        let preferred = candidates.iter().copied().filter(|it| !is_avoided(it));
+        let chosen = placement::choose(preferred, step, || rng.f64());
+        // A target where the task failed is better than none, if all are such.
+        let all_avoided = candidates.iter().all(is_avoided);
+        let chosen = match chosen {
+            None if all_avoided => placement::choose(candidates.into_iter(), step, || rng.f64()),
+            chosen => chosen,
+        };
+        chosen.cloned()
+    }
+
+    /// Stops runs that have taken several times as long as expected.
+    pub(super) fn stop_stuck(&mut self, now: BootTime) {
+        let mut stuck = Vec::new();
+        for job in self.jobs.values() {
+            for key in job.keys() {
+                let Some(task) = job.task(&key) else { continue };
+                let Phase::Placed { agent, order, since, is_stopping: false } = &task.phase else {
+                    continue;
+                };
+                let Some(step) = job.request.steps.get(key.step as usize) else { continue };
+                let expected = self.run_times.expected(&job.route.name, step.estimate);
+                let limit = expected.mul_f64(STUCK_FACTOR) + STUCK_MARGIN;
+                if now.saturating_sub(*since) > limit {
+                    stuck.push((key, agent.clone(), *order, limit));
+                }
+            }
+        }
+        for (task, agent, order, limit) in stuck {
+            self.counters.stuck_runs += 1;
+            tracing::info!(%task, %agent, limit_ms = limit.as_millis() as u64, "run stuck: stopping it");
+            self.order_stop(&task, &agent, order, true);
+        }
+    }
+
+    pub(super) fn order_stop(
+        &mut self,
+        key: &TaskKey,
+        agent: &ProcessId,
+        order: u64,
+        is_stuck: bool,
+    ) {
+        if let Some(view) = self.agents.get_mut(agent) {
+            view.order(Action::Stop { task: key.clone(), order, is_stuck });
+        }
+        let job = self.jobs.get_mut(&key.job);
+        if let Some(task) = job.and_then(|job| job.task_mut(key))
+            && let Phase::Placed { is_stopping, .. } = &mut task.phase
+        {
+            *is_stopping = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -0,0 +1,284 @@
+//! The process that takes jobs, places their tasks and answers.
+//!
+//! - [`admission`]: whether a job is taken or refused when it arrives
+//! - [`placement`]: at which agent a task is started
+//! - [`agent_view`]: what is known of an agent
+//! - [`job_state`]: a job being worked on
+//! - [`run_times`], [`release_rate`]: what was learned
+//! - [`kept_answers`]: answers for callers who ask again
+
+pub mod admission;
+pub mod agent_view;
+pub mod job_state;
+pub mod kept_answers;
+pub mod placement;
+pub mod release_rate;
+pub mod run_times;
+mod arrivals;
+mod dispatch;
+mod endings;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use crate::{
+    clock::BootTime,
+    frame::{AgentFrame, EntryFrame},
+    ids::{CallerId, JobId, LinkId, ProcessId, TaskKey},
+    outcome::{Answer, RunOutcome},
+    routing::RoutingTable,
+    timing::Timing,
+};
+
+pub use self::arrivals::Submission;
+
+use self::{
+    agent_view::AgentView, job_state::JobState, kept_answers::KeptAnswers,
+    release_rate::ReleaseRate, run_times::RunTimes,
+};
+
+/// Counters since the start of the process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EntryCounters {
+    /// Jobs that arrived.
+    pub arrived: u64,
+    /// Jobs answered as completed.
+    pub completed: u64,
+    /// Jobs answered as failed.
+    pub failed: u64,
+    /// Jobs refused.
+    pub refused: u64,
+    /// Jobs refused after they had waited.
+    pub refused_late: u64,
+    /// Jobs given up that may have run.
+    pub interrupted: u64,
+    /// Jobs whose callers had gone.
+    pub abandoned: u64,
+    /// Start orders.
+    pub starts: u64,
+    /// Start orders that began nothing.
+    pub not_started: u64,
+    /// Runs that ended without a result.
+    pub lost_runs: u64,
+    /// Runs that were stopped for standing still.
+    pub stuck_runs: u64,
+    /// Times at which this process found itself suspended.
+    pub suspensions: u64,
+}
+
+/// The decisions of an entry.
+#[derive(Debug)]
+pub struct Entry {
+    timing: Timing,
+    zone: String,
+    rng: fastrand::Rng,
+    table: Option<RoutingTable>,
+    agents: BTreeMap<ProcessId, AgentView>,
+    jobs: BTreeMap<JobId, JobState>,
+    callers: BTreeMap<CallerId, JobId>,
+    /// Tasks that wait for room, by the latest start at which their job is still in time.
+    waiting: BTreeSet<(BootTime, TaskKey)>,
+    kept: KeptAnswers,
+    run_times: RunTimes,
+    released: ReleaseRate,
+    /// Entries that share the targets, this one included.
+    entries: u32,
+    is_leaving: bool,
+    last_event_at: BootTime,
+    answers: Vec<(CallerId, Answer)>,
+    counters: EntryCounters,
+}
+
+impl Entry {
+    /// Returns an entry without configuration, agents or jobs.
+    pub fn new(timing: Timing, zone: String, seed: u64) -> Self {
+        Self {
+            timing,
+            zone,
+            rng: fastrand::Rng::with_seed(seed),
+            table: None,
+            agents: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            kept: KeptAnswers::default(),
+            run_times: RunTimes::default(),
+            released: ReleaseRate::default(),
+            entries: 1,
+            is_leaving: false,
+            last_event_at: BootTime::ZERO,
+            answers: Vec::new(),
+            counters: EntryCounters::default(),
+        }
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> EntryCounters {
+        self.counters
+    }
+
+    /// Returns the number of jobs being worked on.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns the number of tasks that wait for room.
+    pub fn waiting_tasks(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the version of the configuration in force.
+    pub fn version(&self) -> Option<u64> {
+        self.table.as_ref().map(|table| table.version)
+    }
+
+    /// Returns the configuration in force.
+    pub fn table(&self) -> Option<&RoutingTable> {
+        self.table.as_ref()
+    }
+
+    /// Puts a configuration in force unless it is older than the present one; returns whether it is
+    /// newer.
+    pub fn configure(&mut self, table: RoutingTable) -> bool {
+        let version = self.version();
+        if version.is_some_and(|version| version >= table.version) {
+            return false;
+        }
+        tracing::info!(
+            from = version,
+            to = table.version,
+            routes = table.routes.len(),
+            "configuration in force"
+        );
+        self.table = Some(table);
+        true
+    }
+
+    /// Sets the number of entries that share the targets.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries.max(1);
+    }
+
+    /// Returns whether new callers should be sent here.
+    pub fn is_ready(&self, now: BootTime) -> bool {
+        let has_agent = self.agents.values().any(|agent| agent.is_open(now, &self.timing));
+        self.table.is_some() && has_agent && !self.is_leaving
+    }
+
+    /// Refuses new jobs from now on.
+    pub fn begin_shutdown(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Returns the answers that are ready.
+    pub fn take_answers(&mut self) -> Vec<(CallerId, Answer)> {
+        std::mem::take(&mut self.answers)
+    }
+
+    /// Returns the frames that are due.
+    pub fn frames(&mut self, now: BootTime) -> Vec<(LinkId, EntryFrame)> {
+        let heartbeat = self.timing.heartbeat;
+        self.agents.values_mut().filter_map(|agent| agent.frame(now, heartbeat)).collect()
+    }
+
+    /// Opens a link to an agent.
+    pub fn link_up(&mut self, now: BootTime, agent: ProcessId, link: LinkId) {
+        self.observe(now);
+        tracing::info!(%agent, link, "agent linked");
+        let view = self.agents.entry(agent).or_insert_with(|| AgentView::new(link, now));
+        view.link_up(link);
+    }
+
+    /// Closes a link to an agent.
+    pub fn link_down(&mut self, now: BootTime, agent: &ProcessId, link: LinkId) {
+        self.observe(now);
+        if let Some(view) = self.agents.get_mut(agent) {
+            view.link_down(link);
+            tracing::info!(%agent, link, runs = view.runs.len(), "agent's link closed");
+        }
+    }
+
+    /// Takes a frame of an agent.
+    ///
+    /// A frame of a link that has been replaced is out of date and ignored.
+    pub fn receive(&mut self, now: BootTime, agent: &ProcessId, link: LinkId, frame: AgentFrame) {
+        self.observe(now);
+        let Some(view) = self.agents.get_mut(agent) else { return };
+        if view.link != Some(link) {
+            return;
+        }
+        let (undelivered, released) = view.receive(now, &frame);
+        self.released.note(now, released);
+        for task in undelivered {
+            let order = self.agents.get(agent).and_then(|view| view.runs.get(&task).copied());
+            let Some(order) = order else { continue };
+            let outcome = RunOutcome::NotStarted(crate::outcome::Obstacle::Undelivered);
+            self.run_ended(now, agent, &task, order, outcome, Duration::ZERO);
+        }
+        for report in frame.reports {
+            let Some(view) = self.agents.get_mut(agent) else { return };
+            if !view.is_new_report(report.number) {
+                continue;
+            }
+            let ran = Duration::from_millis(report.ran_ms);
+            if let Some(job) = self.jobs.get_mut(&report.task.job)
+                && let Some(task) = job.task_mut(&report.task)
+            {
+                task.attempt = task.attempt.max(report.attempt);
+            }
+            self.run_ended(now, agent, &report.task, report.order, report.outcome, ran);
+        }
+        self.place_waiting(now);
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: BootTime) {
+        self.observe(now);
+        self.released.note(now, 0);
+        self.settle_lost_agents(now);
+        self.stop_stuck(now);
+        self.give_up_late(now);
+        self.place_waiting(now);
+    }
+
+    /// Notes the time; after a suspension, gives up every job that is being worked on: its runs have
+    /// been stopped, and its callers may have submitted it again elsewhere.
+    fn observe(&mut self, now: BootTime) {
+        let pause = now.saturating_sub(self.last_event_at);
+        let is_first = self.last_event_at.is_zero();
+        self.last_event_at = now;
+        if is_first || pause <= self.timing.contact_limit {
+            return;
+        }
+        self.counters.suspensions += 1;
+        tracing::info!(
+            pause_ms = pause.as_millis() as u64,
+            jobs = self.jobs.len(),
+            "suspended: giving up open jobs"
+        );
+        for job in self.jobs.keys().cloned().collect::<Vec<_>>() {
+            self.give_up(now, &job);
+        }
+    }
+
+    /// Ends the runs at agents that have not been heard from until none can be left.
+    fn settle_lost_agents(&mut self, now: BootTime) {
+        let timing = self.timing;
+        let lost = self.agents.iter().filter(|(_, view)| view.is_settled(now, &timing));
+        let lost: Vec<ProcessId> = lost.map(|(agent, _)| agent.clone()).collect();
+        for agent in lost {
+            let Some(view) = self.agents.get(&agent) else { continue };
+            let runs: Vec<_> =
+                view.runs.iter().map(|(task, order)| (task.clone(), *order)).collect();
+            for (task, order) in runs {
+                self.run_ended(now, &agent, &task, order, RunOutcome::Lost, Duration::ZERO);
+            }
+            if self.agents.get(&agent).is_some_and(|view| view.link.is_none()) {
+                tracing::info!(%agent, "agent forgotten");
+                self.agents.remove(&agent);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/src/size.rs
@@ -0,0 +1,40 @@
+//! What a task needs of a target, and what a target has.
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of each resource of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Size {
+    /// Processor, in thousandths of a core.
+    pub cpu_millis: u64,
+    /// Memory in MB.
+    pub memory_mb: u64,
+    /// Whole accelerators.
+    pub accelerators: u64,
+}
+
+impl Size {
+    /// Returns whether this much fits into `room`.
+    pub fn fits(&self, room: &Self) -> bool {
+        self.cpu_millis <= room.cpu_millis
+            && self.memory_mb <= room.memory_mb
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Adds an amount.
+    pub fn add(&mut self, other: &Self) {
+        self.cpu_millis += other.cpu_millis;
+        self.memory_mb += other.memory_mb;
+        self.accelerators += other.accelerators;
+    }
+
+    /// Returns what is left when `other` is taken away; nothing goes below zero.
+    pub fn without(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_sub(other.cpu_millis),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bulrushlatch_node/src/boot_clock.rs
@@ -0,0 +1,17 @@
+//! The clock of the VM.
+
+use std::time::Duration;
+
+use bulrushlatch_dispatch::clock::{BootClock, BootTime};
+use rustix::time::{ClockId, clock_gettime};
+
+/// The kernel's clock that goes on while the VM is suspended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemBootClock;
+
+impl BootClock for SystemBootClock {
+    fn now(&self) -> BootTime {
+        let time = clock_gettime(ClockId::Boottime);
+        Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
+    }
+}
--- /dev/null
+++ b/crates/bulrushlatch_node/src/entry/links.rs
@@ -0,0 +1,241 @@
+//! Links to agents and other entries.
+
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+
+use bulrushlatch_dispatch::{
+    clock::BootClock,
+    frame::{EntryFrame, Hello, PeerFrame, Role},
+    ids::{JobId, LinkId, ProcessId},
+};
+use tokio::net::TcpListener;
+
+use super::EntryProcess;
+use crate::{
+    interface::{CallerInterface, KeyedRecord, SiteStore},
+    link::{self, Frame, LinkReceiver, LinkSender},
+};
+
+/// Time in which the other side must say who it is.
+const GREETING_PATIENCE: Duration = Duration::from_secs(1);
+/// Pause before a link to another entry is opened again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause, for addresses at which nobody listens.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// Pause between looks at which links are missing.
+const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Pause after a failed accept, such as when file descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between two frames on a link to another entry, which shows that it still works.
+const PEER_HEARTBEAT: Duration = Duration::from_millis(500);
+/// Time without a frame after which a link to another entry is replaced.
+const PEER_SILENCE: Duration = Duration::from_millis(1500);
+
+impl<C: CallerInterface, S: SiteStore> EntryProcess<C, S> {
+    fn hello(&self) -> Frame {
+        Frame::Hello(Hello {
+            process: self.process.clone(),
+            role: Role::Entry,
+            address: Some(self.settings.link_listen),
+        })
+    }
+
+    /// Takes links of agents and other entries.
+    pub(super) async fn accept_links(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let (sender, receiver) = link::split(stream);
+            tokio::task::spawn_local(Rc::clone(&self).greet(sender, receiver));
+        }
+    }
+
+    async fn greet(self: Rc<Self>, sender: LinkSender, mut receiver: LinkReceiver) {
+        sender.send(self.hello());
+        let Some(hello) = receiver.greeting(GREETING_PATIENCE).await else { return };
+        match (hello.role, hello.address) {
+            (Role::Agent, _) => self.serve_agent(hello.process, sender, receiver).await,
+            (Role::Entry, Some(address)) => {
+                self.note_entry(address);
+                self.serve_peer(hello.process, sender, receiver).await;
+            }
+            (Role::Entry, None) => {}
+        }
+    }
+
+    async fn serve_agent(&self, agent: ProcessId, sender: LinkSender, mut receiver: LinkReceiver) {
+        let link = self.next_id();
+        self.links.borrow_mut().insert(link, sender);
+        self.act(|core, now| core.link_up(now, agent.clone(), link));
+        self.tell_agent_entries(link);
+        while let Some(frame) = receiver.receive().await {
+            if !self.links.borrow().contains_key(&link) {
+                break;
+            }
+            if let Frame::Agent(frame) = frame {
+                self.act(|core, now| core.receive(now, &agent, link, frame));
+            }
+        }
+        self.links.borrow_mut().remove(&link);
+        self.act(|core, now| core.link_down(now, &agent, link));
+    }
+
+    fn tell_agent_entries(&self, link: LinkId) {
+        let entries = self.known_entries();
+        let frame = EntryFrame { stamp_echo_ms: 0, reports_seen: 0, orders: Vec::new(), entries };
+        self.send(link, Frame::Entry(frame));
+    }
+
+    fn known_entries(&self) -> Vec<SocketAddr> {
+        let mut entries = self.directory.borrow().known();
+        entries.push(self.settings.link_listen);
+        entries
+    }
+
+    /// Notes the address of an entry that is alive, and tells everybody if it is new.
+    pub(super) fn note_entry(&self, address: SocketAddr) {
+        let now = self.clock.now();
+        if address == self.settings.link_listen {
+            return;
+        }
+        if self.directory.borrow_mut().note(address, now) {
+            tracing::info!(%address, "entry found");
+            self.tell_everybody_entries();
+        }
+    }
+
+    fn tell_everybody_entries(&self) {
+        let links: Vec<LinkId> = self.links.borrow().keys().copied().collect();
+        let peers = self.peers.borrow().clone();
+        for link in links {
+            if peers.contains_key(&link) {
+                let entries = self.known_entries();
+                self.send(link, Frame::Peer(PeerFrame { entries, ..PeerFrame::default() }));
+            } else {
+                self.tell_agent_entries(link);
+            }
+        }
+    }
+
+    /// Keeps links to all other entries.
+    pub(super) async fn keep_peer_links(self: Rc<Self>) {
+        let mut dialled: BTreeSet<SocketAddr> = BTreeSet::from([self.settings.link_listen]);
+        loop {
+            let now = self.clock.now();
+            self.directory.borrow_mut().forget_old(now);
+            let addresses = self.directory.borrow().addresses();
+            for address in addresses {
+                if dialled.insert(address) {
+                    tokio::task::spawn_local(Rc::clone(&self).keep_peer_link(address));
+                }
+            }
+            tokio::time::sleep(LINK_CHECK_INTERVAL).await;
+        }
+    }
+
+    async fn keep_peer_link(self: Rc<Self>, address: SocketAddr) {
+        let mut pause = RECONNECT_PAUSE;
+        loop {
+            if let Ok((sender, mut receiver)) = link::connect(address).await {
+                sender.send(self.hello());
+                if let Some(hello) = receiver.greeting(GREETING_PATIENCE).await {
+                    pause = RECONNECT_PAUSE;
+                    self.note_entry(address);
+                    self.serve_peer(hello.process, sender, receiver).await;
+                }
+            }
+            let jitter = 0.5 + fastrand::f64();
+            tokio::time::sleep(pause.mul_f64(jitter)).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+
+    async fn serve_peer(&self, peer: ProcessId, sender: LinkSender, mut receiver: LinkReceiver) {
+        let link = self.next_id();
+        tracing::info!(%peer, link, "entry linked");
+        self.links.borrow_mut().insert(link, sender);
+        self.peers.borrow_mut().insert(link, peer.clone());
+        self.count_entries();
+        self.greet_peer(link);
+        let mut heartbeat = tokio::time::interval(PEER_HEARTBEAT);
+        let mut received_at = self.clock.now();
+        loop {
+            tokio::select! {
+                frame = receiver.receive() => {
+                    received_at = self.clock.now();
+                    match frame {
+                        Some(Frame::Peer(frame)) => self.receive_from_peer(frame),
+                        Some(_) => {}
+                        None => break,
+                    }
+                }
+                _ = heartbeat.tick() => {
+                    if self.clock.now().saturating_sub(received_at) > PEER_SILENCE {
+                        break;
+                    }
+                    self.send(link, Frame::Peer(PeerFrame::default()));
+                }
+            }
+        }
+        self.links.borrow_mut().remove(&link);
+        self.peers.borrow_mut().remove(&link);
+        self.count_entries();
+        tracing::info!(%peer, link, "entry's link closed");
+    }
+
+    fn count_entries(&self) {
+        let peers = self.peers.borrow();
+        let names: BTreeSet<&String> = peers.values().map(|peer| &peer.name).collect();
+        let entries = names.len() as u32 + 1;
+        self.core.borrow_mut().set_entries(entries);
+    }
+
+    fn greet_peer(&self, link: LinkId) {
+        let configuration = self.configuration.borrow().as_ref().map(text_of);
+        let frame =
+            PeerFrame { configuration, entries: self.known_entries(), cancelled: Vec::new() };
+        self.send(link, Frame::Peer(frame));
+    }
+
+    fn receive_from_peer(&self, frame: PeerFrame) {
+        let now = self.clock.now();
+        for address in frame.entries {
+            let is_own = address == self.settings.link_listen;
+            if !is_own && self.directory.borrow_mut().hear(address, now) {
+                tracing::info!(%address, "entry named by another");
+                self.tell_everybody_entries();
+            }
+        }
+        if let Some(text) = frame.configuration {
+            let record =
+                KeyedRecord { key: self.store.routes_key().to_owned(), value: text.into_bytes() };
+            self.take_configuration(record, "entry");
+        }
+        for job in frame.cancelled {
+            self.act(|core, now| core.cancel(now, &job));
+        }
+    }
+
+    /// Hands the newest configuration to all other entries.
+    pub(super) fn tell_peers_configuration(&self) {
+        let configuration = self.configuration.borrow().as_ref().map(text_of);
+        self.tell_peers(&PeerFrame { configuration, ..PeerFrame::default() });
+    }
+
+    /// Tells all other entries of a cancelled job that is not known here.
+    pub(super) fn tell_peers_cancelled(&self, job: &JobId) {
+        self.tell_peers(&PeerFrame { cancelled: vec![job.clone()], ..PeerFrame::default() });
+    }
+
+    fn tell_peers(&self, frame: &PeerFrame) {
+        let links: Vec<LinkId> = self.peers.borrow().keys().copied().collect();
+        for link in links {
+            self.send(link, Frame::Peer(frame.clone()));
+        }
+    }
+}
+
+fn text_of(record: &KeyedRecord) -> String {
+    String::from_utf8_lossy(&record.value).into_owned()
+}
--- /dev/null
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -0,0 +1,258 @@
+//! The process that takes jobs.
+//!
+//! - [`flags`]: the command line
+//! - [`callers`]: calls of callers
+//! - [`links`]: links to agents and other entries
+//! - [`store_watch`]: configuration and addresses in the platform's store
+
+pub mod callers;
+pub mod flags;
+pub mod links;
+pub mod store_watch;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use bulrushlatch_dispatch::{
+    clock::{BootClock, BootTime},
+    directory::Directory,
+    entry::Entry,
+    ids::{CallerId, LinkId, ProcessId},
+    outcome::Answer,
+    routing::RoutingTable,
+};
+use bulrushlatch_runtime::start_error::StartError;
+use error_stack::{Report, ResultExt};
+use prometheus_client::{metrics::histogram::Histogram, registry::Registry};
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    boot_clock::SystemBootClock,
+    http_server,
+    interface::{CallerInterface, KeyedRecord, SiteStore, Stream},
+    link::{Frame, LinkSender},
+    metrics::{self, MetricsHandler, MetricsSource},
+    settings::EntrySettings,
+    signals::watch_signals,
+};
+
+/// Time between looks at what is due.
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Part of the grace in which new jobs are still taken after SIGTERM: the balancer needs a few
+/// seconds to send connections elsewhere.
+const SERVING_SHARE: f64 = 0.5;
+/// Kept free at the end of the grace, to write the last answers.
+const LAST_MOMENT: Duration = Duration::from_millis(400);
+
+/// A running entry.
+pub struct EntryProcess<C, S> {
+    settings: EntrySettings,
+    process: ProcessId,
+    clock: SystemBootClock,
+    callers: C,
+    store: S,
+    core: RefCell<Entry>,
+    links: RefCell<BTreeMap<LinkId, LinkSender>>,
+    peers: RefCell<BTreeMap<LinkId, ProcessId>>,
+    waiting: RefCell<BTreeMap<CallerId, oneshot::Sender<Answer>>>,
+    directory: RefCell<Directory>,
+    configuration: RefCell<Option<KeyedRecord>>,
+    last_id: Cell<u64>,
+    is_closing: Cell<bool>,
+    latency: Histogram,
+    store_faults: Cell<u64>,
+}
+
+impl<C: CallerInterface, S: SiteStore> EntryProcess<C, S> {
+    /// Runs an entry until its token is cancelled and it has shut down.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address cannot be listened on.
+    pub async fn run(
+        settings: EntrySettings,
+        callers: C,
+        store: S,
+        token: CancellationToken,
+    ) -> Result<(), Report<StartError>> {
+        watch_signals(token.clone()).change_context(StartError::System)?;
+        let caller_listener = http_server::listen(settings.caller_listen)
+            .await
+            .change_context(StartError::HttpListen(settings.caller_listen))?;
+        let ready_listener = http_server::listen(settings.ready_listen)
+            .await
+            .change_context(StartError::HttpListen(settings.ready_listen))?;
+        let link_listener = http_server::listen(settings.link_listen)
+            .await
+            .change_context(StartError::PeerListen(settings.link_listen))?;
+        let process = Rc::new(Self::new(settings, callers, store));
+        tracing::info!(process = %process.process, zone = %process.settings.common.zone, "entry started");
+        let handler = Rc::new(callers::CallerHandler::new(&process));
+        tokio::task::spawn_local(http_server::serve(caller_listener, Rc::clone(&handler)));
+        tokio::task::spawn_local(http_server::serve(ready_listener, handler));
+        tokio::task::spawn_local(Rc::clone(&process).accept_links(link_listener));
+        tokio::task::spawn_local(Rc::clone(&process).keep_peer_links());
+        tokio::task::spawn_local(Rc::clone(&process).watch_configuration());
+        tokio::task::spawn_local(Rc::clone(&process).watch_entries());
+        process.serve_metrics().await;
+        process.tick_until(&token).await;
+        process.shut_down().await;
+        Ok(())
+    }
+
+    fn new(settings: EntrySettings, callers: C, store: S) -> Self {
+        let common = &settings.common;
+        let process = ProcessId { name: common.name.clone(), incarnation: fastrand::u64(1..) };
+        let core = Entry::new(common.timing, common.zone.clone(), fastrand::u64(..));
+        Self {
+            process,
+            clock: SystemBootClock,
+            callers,
+            store,
+            core: RefCell::new(core),
+            links: RefCell::default(),
+            peers: RefCell::default(),
+            waiting: RefCell::default(),
+            directory: RefCell::new(Directory::new(common.seeds.iter().copied())),
+            configuration: RefCell::default(),
+            last_id: Cell::new(0),
+            is_closing: Cell::new(false),
+            latency: metrics::latency_histogram(),
+            store_faults: Cell::new(0),
+            settings,
+        }
+    }
+
+    /// Lets the decisions act, then sends what they want sent.
+    fn act<T>(&self, action: impl FnOnce(&mut Entry, BootTime) -> T) -> T {
+        let now = self.clock.now();
+        let mut core = self.core.borrow_mut();
+        let result = action(&mut core, now);
+        let frames = core.frames(now);
+        let answers = core.take_answers();
+        drop(core);
+        for (link, frame) in frames {
+            self.send(link, Frame::Entry(frame));
+        }
+        for (caller, answer) in answers {
+            if let Some(sender) = self.waiting.borrow_mut().remove(&caller) {
+                // The caller may have gone in this moment, which is no fault here.
+                let _ = sender.send(answer);
+            }
+        }
+        result
+    }
+
+    fn send(&self, link: LinkId, frame: Frame) {
+        let mut links = self.links.borrow_mut();
+        let is_sent = links.get(&link).is_some_and(|sender| sender.send(frame));
+        if !is_sent {
+            tracing::info!(link, "link takes no frame: closing it");
+            links.remove(&link);
+        }
+    }
+
+    fn next_id(&self) -> u64 {
+        self.last_id.set(self.last_id.get() + 1);
+        self.last_id.get()
+    }
+
+    async fn tick_until(&self, token: &CancellationToken) {
+        while !token.is_cancelled() {
+            self.act(|core, now| core.tick(now));
+            tokio::time::sleep(TICK_INTERVAL).await;
+        }
+    }
+
+    async fn shut_down(&self) {
+        let grace = self.settings.common.grace;
+        let begun = self.clock.now();
+        let serve_until = begun + grace.mul_f64(SERVING_SHARE);
+        let end = begun + grace.saturating_sub(LAST_MOMENT);
+        tracing::info!(open_jobs = self.core.borrow().open_jobs(), "shutdown begun");
+        self.is_closing.set(true);
+        let address = self.settings.link_listen.to_string();
+        let store = self.store.clone();
+        tokio::task::spawn_local(async move {
+            if let Err(fault) = store.put(Stream::Entries, &address, &[]).await {
+                tracing::info!(%fault, "own address not taken out of the store");
+            }
+        });
+        loop {
+            let now = self.clock.now();
+            if now >= serve_until {
+                self.act(|core, _| core.begin_shutdown());
+            }
+            self.act(|core, now| core.tick(now));
+            let is_idle = self.core.borrow().open_jobs() == 0;
+            if now >= end || (now >= serve_until && is_idle) {
+                break;
+            }
+            tokio::time::sleep(TICK_INTERVAL).await;
+        }
+        let open_jobs = self.core.borrow().open_jobs();
+        // Answers that were just given are still being written.
+        tokio::time::sleep(LAST_MOMENT / 4).await;
+        tracing::info!(open_jobs, "entry stopped");
+    }
+
+    fn put_in_force(&self, record: KeyedRecord, table: RoutingTable) {
+        let is_newer = self.act(|core, _| core.configure(table));
+        if is_newer {
+            *self.configuration.borrow_mut() = Some(record);
+            self.tell_peers_configuration();
+        }
+    }
+
+    async fn serve_metrics(self: &Rc<Self>) {
+        let Some(address) = self.settings.common.metrics_listen else { return };
+        match http_server::listen(address).await {
+            Ok(listener) => {
+                let handler = Rc::new(MetricsHandler(Rc::clone(self)));
+                tokio::task::spawn_local(http_server::serve(listener, handler));
+            }
+            Err(error) => tracing::warn!(%address, %error, "metrics are not served"),
+        }
+    }
+}
+
+impl<C: CallerInterface, S: SiteStore> MetricsSource for EntryProcess<C, S> {
+    fn registry(&self) -> Registry {
+        let mut registry = Registry::with_prefix("bulrushlatch_entry");
+        let core = self.core.borrow();
+        let counters = core.counters();
+        metrics::add_counters(
+            &mut registry,
+            &[
+                ("arrived_jobs", "Jobs that arrived", counters.arrived),
+                ("completed_jobs", "Jobs completed", counters.completed),
+                ("failed_jobs", "Jobs of which a task failed for good", counters.failed),
+                ("refused_jobs", "Jobs refused, not run", counters.refused),
+                ("late_refusals", "Jobs refused after they had waited", counters.refused_late),
+                ("interrupted_jobs", "Jobs given up that may have run", counters.interrupted),
+                ("abandoned_jobs", "Jobs whose callers had gone", counters.abandoned),
+                ("start_orders", "Start orders sent", counters.starts),
+                ("fruitless_starts", "Start orders that began nothing", counters.not_started),
+                ("lost_runs", "Runs that ended without a result", counters.lost_runs),
+                ("stuck_runs", "Runs stopped for standing still", counters.stuck_runs),
+                ("suspensions", "Times this process was suspended", counters.suspensions),
+                ("store_faults", "Calls to the store without result", self.store_faults.get()),
+            ],
+        );
+        metrics::add_gauges(
+            &mut registry,
+            &[
+                ("open_jobs", "Jobs being worked on", core.open_jobs() as u64),
+                ("waiting_tasks", "Tasks that wait for room", core.waiting_tasks() as u64),
+                ("version", "Configuration in force", core.version().unwrap_or_default()),
+            ],
+        );
+        registry.register("answer_seconds", "Time from call to answer", self.latency.clone());
+        registry
+    }
+}
--- /dev/null
+++ b/crates/bulrushlatch_node/src/http_server.rs
@@ -0,0 +1,108 @@
+//! HTTP servers on the process's own thread.
+
+use std::{future::Future, net::SocketAddr, rc::Rc, time::Duration};
+
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::{Bytes, Incoming},
+    header::HeaderMap,
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+
+use crate::interface::BodyResponse;
+
+/// Time within which the head of a request must arrive once it has begun.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time within which a body must arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest body of a request where the configuration names none.
+pub const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
+/// Pause after a failed accept, such as when file descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Size of a connection's buffer: clients are many and their requests small.
+const BUFFER_BYTES: usize = 16 << 10;
+
+/// A request that has been read completely.
+#[derive(Debug)]
+pub struct ServerRequest {
+    /// Method.
+    pub method: Method,
+    /// Path without the query.
+    pub path: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Something that answers requests.
+pub trait ServerHandler: 'static {
+    /// Returns the largest body to read, in bytes.
+    fn max_body_bytes(&self) -> usize {
+        DEFAULT_MAX_BODY_BYTES
+    }
+
+    /// Answers a request. The future is dropped when the client goes away.
+    fn handle(self: Rc<Self>, request: ServerRequest) -> impl Future<Output = BodyResponse>;
+}
+
+/// Listens at an address.
+///
+/// # Errors
+///
+/// Returns an error when the address cannot be listened on.
+pub async fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Serves connections until the process ends.
+pub async fn serve<H: ServerHandler>(listener: TcpListener, handler: Rc<H>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Without it small answers may wait for more; it is no fault if it cannot be set.
+        let _ = stream.set_nodelay(true);
+        let handler = Rc::clone(&handler);
+        let service = service_fn(move |request| answer(Rc::clone(&handler), request));
+        tokio::task::spawn_local(async move {
+            let mut server = http1::Builder::new();
+            server.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
+            server.max_buf_size(BUFFER_BYTES);
+            // A broken connection is the client's matter; its requests are dropped.
+            let _ = server.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+async fn answer<H: ServerHandler>(
+    handler: Rc<H>,
+    request: Request<Incoming>,
+) -> Result<BodyResponse, std::convert::Infallible> {
+    let (head, body) = request.into_parts();
+    let collected = Limited::new(body, handler.max_body_bytes()).collect();
+    let body = match tokio::time::timeout(BODY_TIMEOUT, collected).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(_)) => return Ok(text_response(StatusCode::PAYLOAD_TOO_LARGE, "body too large")),
+        Err(_) => return Ok(text_response(StatusCode::REQUEST_TIMEOUT, "body too slow")),
+    };
+    let request = ServerRequest {
+        method: head.method,
+        path: head.uri.path().to_owned(),
+        headers: head.headers,
+        body,
+    };
+    Ok(handler.handle(request).await)
+}
+
+/// Returns a response with a text body.
+pub fn text_response(status: StatusCode, text: impl Into<String>) -> BodyResponse {
+    let mut response = Response::new(Full::new(Bytes::from(text.into())));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/bulrushlatch_node/src/lib.rs
@@ -0,0 +1,20 @@
+//! The processes around the decisions of `bulrushlatch_dispatch`.
+//!
+//! - [`entry`]: the process that takes jobs
+//! - [`agent`]: the process beside a target
+//! - [`interface`]: what a platform's adapter implements
+//! - [`http_client`], [`http_server`], [`link`]: connections
+//! - [`settings`]: flags and environment variables, checked
+//! - [`logs`], [`metrics`]: what operators see
+
+pub mod agent;
+pub mod boot_clock;
+pub mod entry;
+pub mod http_client;
+pub mod http_server;
+pub mod interface;
+pub mod link;
+pub mod logs;
+pub mod metrics;
+pub mod settings;
+pub mod signals;
--- /dev/null
+++ b/crates/bulrushlatch_node/src/settings.rs
@@ -0,0 +1,170 @@
+//! Flags and environment variables of both processes, checked.
+
+#![allow(missing_docs)]
+
+use std::{net::SocketAddr, time::Duration};
+
+use bulrushlatch_dispatch::timing::Timing;
+use bulrushlatch_runtime::{
+    settings_reader::{SettingsError, SettingsReader},
+    telemetry::LogFormat,
+};
+
+use crate::{agent::flags::BulrushSiteAgent, entry::flags::BulrushSiteEntry};
+
+/// Pause after which callers submit again, where nothing is set.
+const DEFAULT_RESEND_AFTER: Duration = Duration::from_millis(1300);
+/// Longest lease that targets grant, where nothing is set.
+const DEFAULT_LONGEST_LEASE: Duration = Duration::from_millis(1000);
+/// Time between SIGTERM and SIGKILL, where nothing is set.
+const DEFAULT_GRACE: Duration = Duration::from_secs(6);
+
+/// What both processes are told.
+#[derive(Clone, Debug)]
+pub struct CommonSettings {
+    /// Name, kept over restarts.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Where some entries listen for links; they may be out of date.
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Where `/metrics` is served, if anywhere.
+    pub metrics_listen: Option<SocketAddr>,
+    /// Time bounds; they hold together.
+    pub timing: Timing,
+    /// Time between SIGTERM and SIGKILL.
+    pub grace: Duration,
+    /// Form of log lines.
+    pub log_format: LogFormat,
+    /// Level of log lines.
+    pub log_level: String,
+}
+
+/// Settings of an entry.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// What both processes are told.
+    pub common: CommonSettings,
+    /// Where callers connect.
+    pub caller_listen: SocketAddr,
+    /// Where the balancer asks whether this process is ready.
+    pub ready_listen: SocketAddr,
+    /// Where agents and entries connect.
+    pub link_listen: SocketAddr,
+}
+
+/// Settings of an agent.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// What both processes are told.
+    pub common: CommonSettings,
+    /// Where the target announces itself.
+    pub announcement_listen: SocketAddr,
+    /// Where the target takes calls.
+    pub target: SocketAddr,
+}
+
+struct CommonFlags {
+    name: Option<String>,
+    zone: Option<String>,
+    seeds: Option<String>,
+    link_port: Option<String>,
+    store: Option<String>,
+    metrics_listen: Option<String>,
+    resend_after_ms: Option<String>,
+    longest_lease_ms: Option<String>,
+    grace_s: Option<String>,
+    log_format: Option<String>,
+    log_level: Option<String>,
+}
+
+macro_rules! common_flags {
+    ($flags:expr) => {
+        CommonFlags {
+            name: $flags.name,
+            zone: $flags.zone,
+            seeds: $flags.seeds,
+            link_port: $flags.link_port,
+            store: $flags.store,
+            metrics_listen: $flags.metrics_listen,
+            resend_after_ms: $flags.resend_after_ms,
+            longest_lease_ms: $flags.longest_lease_ms,
+            grace_s: $flags.grace_s,
+            log_format: $flags.log_format,
+            log_level: $flags.log_level,
+        }
+    };
+}
+
+fn address(reader: &mut SettingsReader, flag: &str, given: Option<String>) -> SocketAddr {
+    let list: Vec<SocketAddr> = reader.list(flag, given);
+    reader.check(list.len() == 1, &format!("--{flag} must name one address, IP:PORT"));
+    list.first().copied().unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0)))
+}
+
+fn read_common(reader: &mut SettingsReader, flags: CommonFlags) -> CommonSettings {
+    let resend_after =
+        reader.millis("resend-after-ms", flags.resend_after_ms, DEFAULT_RESEND_AFTER);
+    let longest_lease =
+        reader.millis("longest-lease-ms", flags.longest_lease_ms, DEFAULT_LONGEST_LEASE);
+    let timing = Timing::new(resend_after, longest_lease);
+    reader.check(
+        timing.holds(),
+        "--resend-after-ms is too short: an earlier run might not be over when callers submit again",
+    );
+    let seeds: Vec<SocketAddr> = reader.list("seeds", flags.seeds);
+    let link_port: u16 = reader.optional("link-port", flags.link_port, 0);
+    let seeds = seeds.into_iter().map(|mut seed| {
+        if link_port != 0 {
+            seed.set_port(link_port);
+        }
+        seed
+    });
+    let metrics_listen: Vec<SocketAddr> = reader.list("metrics-listen", flags.metrics_listen);
+    let grace_s: f64 = reader.optional("grace-s", flags.grace_s, DEFAULT_GRACE.as_secs_f64());
+    reader.check(grace_s >= 1.0, "--grace-s must be at least 1");
+    CommonSettings {
+        name: reader.required("name", flags.name),
+        zone: reader.required("zone", flags.zone),
+        seeds: seeds.collect(),
+        store: address(reader, "store", flags.store),
+        metrics_listen: metrics_listen.first().copied(),
+        timing,
+        grace: Duration::from_secs_f64(grace_s.max(1.0)),
+        log_format: reader.optional("log-format", flags.log_format, LogFormat::Json),
+        log_level: reader.optional("log-level", flags.log_level, "info".to_owned()),
+    }
+}
+
+impl EntrySettings {
+    /// Reads flags and environment variables.
+    ///
+    /// # Errors
+    ///
+    /// Returns all faults at once.
+    pub fn from_flags(flags: BulrushSiteEntry) -> Result<Self, SettingsError> {
+        let mut reader = SettingsReader::default();
+        let caller_listen = address(&mut reader, "caller-listen", flags.caller_listen);
+        let ready_listen = address(&mut reader, "ready-listen", flags.ready_listen);
+        let link_listen = address(&mut reader, "link-listen", flags.link_listen);
+        let common = read_common(&mut reader, common_flags!(flags));
+        reader.finish(Self { common, caller_listen, ready_listen, link_listen })
+    }
+}
+
+impl AgentSettings {
+    /// Reads flags and environment variables.
+    ///
+    /// # Errors
+    ///
+    /// Returns all faults at once.
+    pub fn from_flags(flags: BulrushSiteAgent) -> Result<Self, SettingsError> {
+        let mut reader = SettingsReader::default();
+        let listen = address(&mut reader, "announcement-listen", flags.announcement_listen);
+        let target = address(&mut reader, "target", flags.target);
+        let common = read_common(&mut reader, common_flags!(flags));
+        reader.finish(Self { common, announcement_listen: listen, target })
+    }
+}
--- /dev/null
+++ b/crates/bulrushlatch_node/src/signals.rs
@@ -0,0 +1,26 @@
+//! Signals.
+
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+/// Cancels `token` on SIGTERM or SIGINT, and notes SIGHUP: settings are read at the start only.
+///
+/// # Errors
+///
+/// Returns an error when the signal handlers cannot be installed.
+pub fn watch_signals(token: CancellationToken) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    tokio::task::spawn_local(async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hangup.recv() => tracing::info!("reload: no setting changes while running"),
+            }
+        }
+        token.cancel();
+    });
+    Ok(())
+}
