--- a/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -20,8 +20,7 @@
 #[derive(Clone, Debug)]
 struct UnseenOrder {
     number: OrderNumber,
-    /// The task and its size, for a start.
-    start: Option<(TaskKey, Size)>,
+    action: Action,
 }
 
 /// One life of an agent.
@@ -87,18 +86,11 @@
         while self.unseen.front().is_some_and(|order| order.number <= frame.orders_seen) {
             self.unseen.pop_front();
         }
-        let mut undelivered = Vec::new();
-        if !self.is_synced {
-            self.is_synced = true;
-            self.pending.clear();
-            let lost = self.unseen.drain(..);
-            undelivered.extend(lost.filter_map(|order| order.start.map(|(task, _)| task)));
-        }
+        let undelivered = if self.is_synced { Vec::new() } else { self.sync() };
         let before = self.offer.released_cpu_millis;
-        let released = if before == 0 {
-            0
-        } else {
-            frame.offer.released_cpu_millis - before.min(frame.offer.released_cpu_millis)
+        let released = match before {
+            0 => 0,
+            before => frame.offer.released_cpu_millis.saturating_sub(before),
         };
         self.offer = frame.offer.clone();
         self.received_at = now;
@@ -106,6 +98,24 @@
         (undelivered, released)
     }
 
+    /// Begins to use a new link: what the old one lost is known now. Stops are ordered again;
+    /// returns the tasks of the starts.
+    fn sync(&mut self) -> Vec<TaskKey> {
+        self.is_synced = true;
+        self.pending.clear();
+        let lost: Vec<UnseenOrder> = self.unseen.drain(..).collect();
+        let mut undelivered = Vec::new();
+        for order in lost {
+            match order.action {
+                Action::Start(start) => undelivered.push(start.task),
+                stop @ Action::Stop { .. } => {
+                    self.order(stop);
+                }
+            }
+        }
+        undelivered
+    }
+
     /// Returns whether a report is new, and notes it.
     pub fn is_new_report(&mut self, number: ReportNumber) -> bool {
         let is_new = number > self.reports_seen;
@@ -132,8 +142,10 @@
     /// Returns what is free, less what our orders under way will take.
     pub fn free(&self) -> Size {
         let mut free = self.offer.free;
-        for (_, size) in self.unseen.iter().filter_map(|order| order.start.as_ref()) {
-            free = free.without(size);
+        for order in &self.unseen {
+            if let Action::Start(start) = &order.action {
+                free = free.without(&start.size);
+            }
         }
         free
     }
@@ -142,14 +154,10 @@
     pub fn order(&mut self, action: Action) -> OrderNumber {
         self.last_order += 1;
         let number = self.last_order;
-        let start = match &action {
-            Action::Start(start) => {
-                self.runs.insert(start.task.clone(), number);
-                Some((start.task.clone(), start.size))
-            }
-            Action::Stop { .. } => None,
-        };
-        self.unseen.push_back(UnseenOrder { number, start });
+        if let Action::Start(start) = &action {
+            self.runs.insert(start.task.clone(), number);
+        }
+        self.unseen.push_back(UnseenOrder { number, action: action.clone() });
         self.pending.push(Order { number, action });
         number
     }
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/tests/entry.rs
@@ -0,0 +1,223 @@
+//! Single decisions of an entry.
+
+mod support;
+
+use bulrushlatch_dispatch::{
+    outcome::{Answer, Obstacle, Refusal, RunOutcome},
+    routing::RoutingTable,
+};
+
+use support::{Bench, FakeAgent, job, ms, process, route};
+
+fn one_agent() -> Bench {
+    Bench::new(vec![FakeAgent::new("agent-0", 1, 16_000)])
+}
+
+#[test]
+fn a_job_is_completed_when_every_task_is_done() {
+    let mut bench = one_agent();
+    let caller = bench.submit(job("job", 2, 1_000, ms(60)), "quick");
+    let starts = bench.agents[0].take_starts();
+    assert_eq!(starts.len(), 2);
+    let first = bench.agents[0].report(&starts[0], RunOutcome::Done, 60);
+    bench.hear(0, vec![first]);
+    assert_eq!(bench.answer_to(caller), None);
+    let second = bench.agents[0].report(&starts[1], RunOutcome::Done, 60);
+    bench.hear(0, vec![second]);
+    assert_eq!(bench.answer_to(caller), Some(Answer::Completed));
+}
+
+#[test]
+fn a_report_that_comes_twice_counts_once() {
+    let mut bench = one_agent();
+    let caller = bench.submit(job("job", 1, 1_000, ms(60)), "quick");
+    let starts = bench.agents[0].take_starts();
+    let failed = bench.agents[0].report(&starts[0], RunOutcome::Failed, 5);
+    bench.hear(0, vec![failed.clone()]);
+    bench.hear(0, vec![failed.clone()]);
+    bench.hear(0, vec![failed]);
+    assert_eq!(bench.answer_to(caller), None, "one failed run of three allowed");
+}
+
+#[test]
+fn a_job_fails_after_the_configured_number_of_failed_runs() {
+    let mut bench = one_agent();
+    let caller = bench.submit(job("job", 1, 1_000, ms(60)), "quick");
+    for run in 1..=3 {
+        assert_eq!(bench.answer_to(caller), None);
+        let starts = bench.agents[0].take_starts();
+        assert_eq!(starts.len(), 1, "run {run}");
+        assert_eq!(starts[0].1.attempt, run);
+        let failed = bench.agents[0].report(&starts[0], RunOutcome::Failed, 5);
+        bench.hear(0, vec![failed]);
+    }
+    assert_eq!(bench.answer_to(caller), Some(Answer::Failed));
+}
+
+#[test]
+fn a_failed_task_is_tried_at_another_agent() {
+    let agents = vec![FakeAgent::new("agent-0", 1, 16_000), FakeAgent::new("agent-1", 2, 16_000)];
+    let mut bench = Bench::new(agents);
+    bench.submit(job("job", 1, 1_000, ms(60)), "quick");
+    let first = usize::from(bench.agents[0].orders.is_empty());
+    let starts = bench.agents[first].take_starts();
+    let failed = bench.agents[first].report(&starts[0], RunOutcome::Failed, 5);
+    bench.hear(first, vec![failed]);
+    assert_eq!(bench.agents[first].take_starts().len(), 0);
+    assert_eq!(bench.agents[1 - first].take_starts().len(), 1);
+}
+
+#[test]
+fn the_same_id_attaches_while_open_and_gets_the_kept_answer_later() {
+    let mut bench = one_agent();
+    let first = bench.submit(job("job", 1, 1_000, ms(60)), "quick");
+    let second = bench.submit(job("job", 1, 1_000, ms(60)), "quick");
+    let starts = bench.agents[0].take_starts();
+    assert_eq!(starts.len(), 1);
+    let done = bench.agents[0].report(&starts[0], RunOutcome::Done, 60);
+    bench.hear(0, vec![done]);
+    let third = bench.submit(job("job", 1, 1_000, ms(60)), "quick");
+    for caller in [first, second, third] {
+        assert_eq!(bench.answer_to(caller), Some(Answer::Completed));
+    }
+    assert_eq!(bench.agents[0].take_starts().len(), 0);
+}
+
+#[test]
+fn a_stop_that_a_broken_link_lost_is_sent_again() {
+    let mut bench = one_agent();
+    let caller = bench.submit(job("job", 1, 1_000, ms(600)), "slow");
+    bench.advance(ms(20));
+    assert_eq!(bench.agents[0].take_starts().len(), 1);
+    // The agent opens a new link, and the caller leaves before the first frame on it.
+    bench.agents[0].link = 2;
+    bench.entry.link_up(bench.now, process("agent-0"), 2);
+    bench.entry.caller_gone(bench.now, caller);
+    bench.collect();
+    bench.hear(0, Vec::new());
+    bench.advance(ms(40));
+    assert_eq!(bench.agents[0].stops(), 1);
+}
+
+#[test]
+fn a_stop_on_its_way_when_the_link_broke_is_sent_again() {
+    let mut bench = one_agent();
+    let caller = bench.submit(job("job", 1, 1_000, ms(600)), "slow");
+    bench.advance(ms(20));
+    let seen = bench.agents[0].orders_seen;
+    bench.entry.caller_gone(bench.now, caller);
+    bench.collect();
+    // The frame with the stop is lost with the link.
+    bench.agents[0].orders.clear();
+    bench.agents[0].orders_seen = seen;
+    bench.agents[0].link = 2;
+    bench.entry.link_up(bench.now, process("agent-0"), 2);
+    bench.hear(0, Vec::new());
+    bench.advance(ms(40));
+    assert_eq!(bench.agents[0].stops(), 1);
+}
+
+#[test]
+fn a_start_that_a_broken_link_lost_is_placed_again() {
+    let mut bench = one_agent();
+    let seen = bench.agents[0].orders_seen;
+    bench.submit(job("job", 1, 1_000, ms(60)), "quick");
+    assert_eq!(bench.agents[0].take_starts().len(), 1);
+    bench.agents[0].orders_seen = seen;
+    bench.agents[0].link = 2;
+    bench.entry.link_up(bench.now, process("agent-0"), 2);
+    bench.hear(0, Vec::new());
+    bench.advance(ms(40));
+    let starts = bench.agents[0].take_starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].1.attempt, 2);
+}
+
+#[test]
+fn frames_of_a_replaced_link_are_ignored() {
+    let mut bench = one_agent();
+    bench.entry.link_up(bench.now, process("agent-0"), 2);
+    bench.hear(0, Vec::new());
+    assert!(!bench.entry.is_ready(bench.now), "the frame came on link 1");
+}
+
+#[test]
+fn a_suspended_entry_gives_up_its_open_jobs() {
+    let mut bench = one_agent();
+    let caller = bench.submit(job("job", 1, 1_000, ms(600)), "slow");
+    bench.now += ms(400);
+    bench.entry.tick(bench.now);
+    bench.collect();
+    assert_eq!(bench.answer_to(caller), Some(Answer::Interrupted));
+}
+
+#[test]
+fn a_job_of_which_nothing_ran_is_refused_not_interrupted() {
+    let mut bench = one_agent();
+    let caller = bench.submit(job("job", 1, 1_000, ms(60)), "quick");
+    let starts = bench.agents[0].take_starts();
+    bench.agents[0].offer.accepts = false;
+    let unavailable = RunOutcome::NotStarted(Obstacle::Unavailable);
+    let refused = bench.agents[0].report(&starts[0], unavailable, 0);
+    bench.hear(0, vec![refused]);
+    bench.advance(ms(500));
+    assert!(matches!(
+        bench.answer_to(caller),
+        Some(Answer::Refused { reason: Refusal::Overloaded, .. })
+    ));
+}
+
+#[test]
+fn runs_at_a_silent_agent_are_settled_only_after_the_stated_time() {
+    let agents = vec![FakeAgent::new("agent-0", 1, 16_000)];
+    let mut bench = Bench::new(agents);
+    bench.submit(job("job", 1, 1_000, ms(100)), "slow");
+    assert_eq!(bench.agents[0].take_starts().len(), 1);
+    let silent_since = bench.now;
+    bench.entry.link_down(bench.now, &process("agent-0"), 1);
+    let other = FakeAgent::new("agent-1", 2, 16_000);
+    bench.entry.link_up(bench.now, other.id.clone(), 2);
+    bench.agents = vec![other];
+    let settled = support::timing().settled_after();
+    while bench.now < silent_since + settled {
+        assert_eq!(bench.agents[0].take_starts().len(), 0, "{:?}", bench.now - silent_since);
+        bench.advance(ms(10));
+    }
+    bench.advance(ms(60));
+    assert_eq!(bench.agents[0].take_starts().len(), 1);
+}
+
+#[test]
+fn configurations_only_go_forward() {
+    let mut bench = one_agent();
+    let table =
+        |version| RoutingTable { version, routes: vec![route("quick")], max_body_bytes: None };
+    assert!(bench.entry.configure(table(5)));
+    assert!(!bench.entry.configure(table(4)));
+    assert!(!bench.entry.configure(table(5)));
+    assert_eq!(bench.entry.version(), Some(5));
+}
+
+#[test]
+fn nothing_is_placed_at_an_agent_that_takes_no_work() {
+    let mut bench = one_agent();
+    bench.agents[0].offer.accepts = false;
+    bench.advance(ms(20));
+    let caller = bench.submit(job("job", 1, 1_000, ms(60)), "quick");
+    assert_eq!(bench.agents[0].take_starts().len(), 0);
+    assert!(matches!(
+        bench.answer_to(caller),
+        Some(Answer::Refused { reason: Refusal::NoTarget, .. })
+    ));
+}
+
+#[test]
+fn a_run_that_stands_still_is_stopped_and_blamed_on_its_target() {
+    let mut bench = one_agent();
+    bench.submit(job("job", 1, 1_000, ms(60)), "quick");
+    bench.advance(ms(1_000));
+    let stuck = bench.agents[0].orders.iter().any(|order| {
+        matches!(order.action, bulrushlatch_dispatch::frame::Action::Stop { is_stuck: true, .. })
+    });
+    assert!(stuck);
+}
