--- a/crates/bulrushlatch_dispatch/src/agent/ledger.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/ledger.rs
@@ -15,7 +15,7 @@
 };
 
 /// Pause before a stop order that had no effect is sent again.
-const STOP_PAUSE: Duration = Duration::from_millis(80);
+const STOP_PAUSE: Duration = Duration::from_millis(40);
 /// Time for which a target that refused for want of room is taken as full.
 const FULL_PAUSE: Duration = Duration::from_millis(20);
 /// Attempts by which a start is raised when the target has seen higher ones.
@@ -107,20 +107,23 @@
         }
     }
 
-    /// Takes the answer to a stop order.
-    pub fn stop_answered(&mut self, now: BootTime, stop: &StopOrder, clock_ms: TargetTimeMs) {
+    /// Takes the answer to a stop order; returns whether the end of the run is still to be seen.
+    pub fn stop_answered(
+        &mut self,
+        now: BootTime,
+        stop: &StopOrder,
+        clock_ms: TargetTimeMs,
+    ) -> bool {
         if self.target_id() != Some(&stop.target) {
-            return;
+            return false;
         }
         if let Some(target) = &mut self.target {
             target.answered(now, clock_ms);
         }
         let run = stop.task.as_ref().and_then(|task| self.runs.get_mut(task));
-        if let Some(run) = run
-            && run.attempt == stop.attempt
-        {
-            run.stop_answered_at = Some(now);
-        }
+        let Some(run) = run.filter(|run| run.attempt == stop.attempt) else { return false };
+        run.stop_answered_at = Some(now);
+        true
     }
 
     /// Takes a look at the target that was asked for at `asked_at`; returns the highest end seen.
--- a/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
@@ -119,7 +119,8 @@
             cpu_millis: request.first_demand().cpu_millis,
             patience: objective.saturating_sub(work).saturating_sub(MESSAGE_TIME),
         };
-        let Some(supply) = self.supply(now, &route) else {
+        let latest_start = now + demand.patience;
+        let Some(supply) = self.supply(now, &route, latest_start) else {
             self.refuse(now, caller, &job, Refusal::NoTarget, Duration::ZERO);
             return;
         };
@@ -146,7 +147,7 @@
             request,
             route,
         };
-        let latest_start = (now + demand.patience).min(state.deadline_at);
+        let latest_start = latest_start.min(state.deadline_at);
         for task in state.unblock() {
             self.waiting.insert((latest_start, task));
         }
@@ -160,8 +161,9 @@
         self.run_times.expected(&route.name, request.longest_chain())
     }
 
-    /// Returns what there is for a job of a route; none if no agent takes its service's work.
-    fn supply(&self, now: BootTime, route: &Route) -> Option<Supply> {
+    /// Returns what there is for a job of a route that must start by `latest_start`; none if no agent
+    /// takes its service's work.
+    fn supply(&self, now: BootTime, route: &Route, latest_start: BootTime) -> Option<Supply> {
         let agents = self.agents.values().filter(|agent| {
             agent.offer.service == route.service && agent.is_open(now, &self.timing)
         });
@@ -171,7 +173,8 @@
             free_cpu_millis += agent.free().cpu_millis;
             count += 1;
         }
-        let queued = self.waiting.iter().filter_map(|(_, task)| {
+        let ahead = self.waiting.iter().take_while(|(start, _)| *start <= latest_start);
+        let queued = ahead.filter_map(|(_, task)| {
             let job = self.jobs.get(&task.job).filter(|job| job.route.service == route.service)?;
             job.request.steps.get(task.step as usize)
         });
--- a/crates/bulrushlatch_node/src/agent/target_driver.rs
+++ b/crates/bulrushlatch_node/src/agent/target_driver.rs
@@ -16,9 +16,9 @@
 
 /// How long the target may hold a look back while it waits for an end: well under the lease and
 /// under the time after which the target counts as silent.
-const LOOK_WAIT: Duration = Duration::from_millis(120);
+const LOOK_WAIT: Duration = Duration::from_millis(100);
 /// Pause after a look that failed.
-const FAULT_PAUSE: Duration = Duration::from_millis(20);
+const FAULT_PAUSE: Duration = Duration::from_millis(5);
 
 impl<T: LeasedTarget, A: AnnouncementInterface, S: SiteStore> AgentProcess<T, A, S> {
     /// Orders the start of a task.
@@ -34,35 +34,43 @@
 
     /// Orders the end of a run.
     pub(super) async fn stop(self: Rc<Self>, stop: StopOrder) {
-        if let Some(clock_ms) = self.target.stop(&stop).await {
-            self.act(|core, now| core.stop_answered(now, &stop, clock_ms));
+        let Some(clock_ms) = self.target.stop(&stop).await else { return };
+        let is_open = self.act(|core, now| core.stop_answered(now, &stop, clock_ms));
+        if is_open {
+            // Only a look shows whether the run is over; the one under way was asked for before.
+            self.look_once(Duration::ZERO).await;
         }
     }
 
     /// Looks at the target again and again, and renews its lease.
     pub(super) async fn look_at_target(self: Rc<Self>) {
         loop {
-            let target = self.core.borrow().target_id().cloned();
-            let Some(target) = target else {
+            if self.core.borrow().target_id().is_none() {
                 self.target_found.notified().await;
-                continue;
-            };
-            let asked_at = self.clock.now();
-            let (lease_until_ms, ends_seen) =
-                self.act(|core, now| (core.renewal(now), core.ends_seen()));
-            let order =
-                LookOrder { target: target.clone(), lease_until_ms, ends_seen, wait: LOOK_WAIT };
-            match self.target.look(&order).await {
-                Ok(look) => {
-                    self.act(|core, now| core.looked(now, asked_at, &target, &look));
-                }
-                Err(fault) => {
-                    if fault != TargetFault::NoAnswer {
-                        tracing::info!(%target, ?fault, "look failed");
-                    }
-                    self.act(|core, now| core.look_failed(now, &target, fault));
-                    tokio::time::sleep(FAULT_PAUSE).await;
+            } else if !self.look_once(LOOK_WAIT).await {
+                tokio::time::sleep(FAULT_PAUSE).await;
+            }
+        }
+    }
+
+    /// Looks at the target, which may wait for an end; returns whether it answered.
+    async fn look_once(self: &Rc<Self>, wait: Duration) -> bool {
+        let Some(target) = self.core.borrow().target_id().cloned() else { return false };
+        let asked_at = self.clock.now();
+        let (lease_until_ms, ends_seen) =
+            self.act(|core, now| (core.renewal(now), core.ends_seen()));
+        let order = LookOrder { target: target.clone(), lease_until_ms, ends_seen, wait };
+        match self.target.look(&order).await {
+            Ok(look) => {
+                self.act(|core, now| core.looked(now, asked_at, &target, &look));
+                true
+            }
+            Err(fault) => {
+                if fault != TargetFault::NoAnswer {
+                    tracing::info!(%target, ?fault, "look failed");
                 }
+                self.act(|core, now| core.look_failed(now, &target, fault));
+                false
             }
         }
     }
