--- a/crates/bulrushlatch_dispatch/src/entry/admission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/admission.rs
@@ -10,6 +10,15 @@
 /// Range over which returns are spread, so that callers refused together do not return together.
 const RETRY_SPREAD: Duration = Duration::from_secs(2);
 
+/// Share of a service's capacity that jobs leave free for more urgent ones, so that these need not
+/// wait for an end: about what urgent jobs take while a common task runs.
+const URGENT_RESERVE: f64 = 0.06;
+
+/// Returns the processor that jobs leave free if there are more urgent routes.
+pub fn reserve_cpu_millis(total_cpu_millis: u64, is_most_urgent: bool) -> u64 {
+    if is_most_urgent { 0 } else { (total_cpu_millis as f64 * URGENT_RESERVE) as u64 }
+}
+
 /// What a job asks for.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand {
--- a/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
@@ -168,11 +168,15 @@
             agent.offer.service == route.service && agent.is_open(now, &self.timing)
         });
         let mut free_cpu_millis = 0;
+        let mut total_cpu_millis = 0;
         let mut count = 0;
         for agent in agents {
             free_cpu_millis += agent.free().cpu_millis;
+            total_cpu_millis += agent.offer.total.cpu_millis;
             count += 1;
         }
+        let reserve = admission::reserve_cpu_millis(total_cpu_millis, self.is_most_urgent(route));
+        let free_cpu_millis = free_cpu_millis.saturating_sub(reserve);
         let ahead = self.waiting.iter().take_while(|(start, _)| *start <= latest_start);
         let queued = ahead.filter_map(|(_, task)| {
             let job = self.jobs.get(&task.job).filter(|job| job.route.service == route.service)?;
@@ -184,6 +188,13 @@
         (count > 0).then_some(supply)
     }
 
+    /// Returns whether no other route of the same service goes first.
+    pub(super) fn is_most_urgent(&self, route: &Route) -> bool {
+        let routes = self.table.iter().flat_map(|table| &table.routes);
+        let mut rivals = routes.filter(|other| other.service == route.service);
+        rivals.all(|other| other.priority >= route.priority)
+    }
+
     pub(super) fn refuse(
         &mut self,
         now: BootTime,
--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{
-    Entry,
+    Entry, admission,
     job_state::Phase,
     placement::{self, Candidate},
 };
@@ -65,7 +65,6 @@
         let job = self.jobs.get(&key.job)?;
         let step = job.request.steps.get(key.step as usize)?;
         let task = job.task(key)?;
-        let rng = &mut self.rng;
         let open = self.agents.iter().filter(|(_, view)| {
             view.offer.service == job.route.service && view.is_open(now, &self.timing)
         });
@@ -83,13 +82,23 @@
                 .count() as u32,
         });
         let candidates: Vec<Candidate<'_>> = candidates.collect();
+        let free: u64 = candidates.iter().map(|it| it.free.cpu_millis).sum();
+        let total = candidates.iter().map(|it| it.total.cpu_millis).sum();
+        // A job that has begun is finished first: it holds what it has until then.
+        let gives_way = !job.has_run && !self.is_most_urgent(&job.route);
+        let reserve = admission::reserve_cpu_millis(total, !gives_way);
+        if free < total && free < reserve + step.size.cpu_millis {
+            return None;
+        }
         let is_avoided = |it: &Candidate<'_>| task.avoided.contains(it.agent);
         let preferred = candidates.iter().copied().filter(|it| !is_avoided(it));
-        let chosen = placement::choose(preferred, step, || rng.f64());
+        let chosen = placement::choose(preferred, step, || self.rng.f64());
         // A target where the task failed is better than none, if all are such.
         let all_avoided = candidates.iter().all(is_avoided);
         let chosen = match chosen {
-            None if all_avoided => placement::choose(candidates.into_iter(), step, || rng.f64()),
+            None if all_avoided => {
+                placement::choose(candidates.into_iter(), step, || self.rng.f64())
+            }
             chosen => chosen,
         };
         chosen.cloned()
