--- a/crates/bulrushlatch_dispatch/src/agent/contact.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/contact.rs
@@ -1,11 +1,12 @@
 //! What an agent keeps for each entry.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
 use crate::{
     clock::BootTime,
     frame::Report,
     ids::{LinkId, OrderNumber, ReportNumber},
+    timing::Timing,
 };
 
 /// What an agent knows of one life of an entry.
@@ -27,6 +28,12 @@
     pub sent_at: BootTime,
     /// When the last frame arrived.
     pub received_at: BootTime,
+    /// Whether the entry places tasks here.
+    pub is_in_use: bool,
+    /// Whether the last frame said that new tasks are taken.
+    pub said_accepts: bool,
+    /// Whether the target's profile has been sent on the present link.
+    pub has_profile: bool,
     /// Whether there is news that should go out soon.
     pub has_news: bool,
 }
@@ -43,6 +50,9 @@
             sent_report: 0,
             sent_at: BootTime::ZERO,
             received_at: now,
+            is_in_use: false,
+            said_accepts: false,
+            has_profile: false,
             has_news: true,
         }
     }
@@ -55,6 +65,20 @@
         self.has_news = true;
     }
 
+    /// Returns whether a frame is due; `pause` is the shortest time between two that bring no report.
+    pub fn is_due(&self, now: BootTime, timing: &Timing, pause: Duration, accepts: bool) -> bool {
+        let since = now.saturating_sub(self.sent_at);
+        let has_change = !self.has_profile || self.said_accepts != accepts;
+        if self.sent_report < self.last_report || has_change {
+            return true;
+        }
+        if self.is_in_use {
+            since >= timing.heartbeat || (self.has_news && since >= pause)
+        } else {
+            since >= timing.idle_heartbeat()
+        }
+    }
+
     /// Forgets reports up to `seen`.
     pub fn acknowledge(&mut self, seen: ReportNumber) {
         while self.reports.front().is_some_and(|report| report.number <= seen) {
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     clock::BootTime,
-    frame::{AgentFrame, Offer, Report},
+    frame::{AgentFrame, Offer, Profile, Report},
     ids::{Attempt, LinkId, ProcessId, TaskKey},
     outcome::RunOutcome,
     size::Size,
@@ -171,6 +171,7 @@
             cpu_millis = announcement.capacity.cpu_millis, "target found"
         );
         self.target = Some(Target::new(announcement));
+        self.renew_profiles();
         self.health = Health::default();
         self.note_news();
     }
@@ -198,6 +199,7 @@
         let Some(target) = self.target.take() else { return };
         tracing::info!(target = %target.announcement.id, runs = self.runs.len(), "target lost");
         self.retired.insert(target.announcement.id);
+        self.renew_profiles();
         while self.retired.len() > MOST_RETIRED {
             self.retired.pop_first();
         }
@@ -214,6 +216,8 @@
         contact.received_at = now;
         // What was sent on the old link may be lost.
         contact.sent_report = 0;
+        contact.has_profile = false;
+        contact.is_in_use = false;
         contact.has_news = true;
     }
 
@@ -228,9 +232,15 @@
 
     /// Returns links on which nothing has arrived for so long that a new one should be tried.
     pub fn silent_links(&self, now: BootTime) -> Vec<LinkId> {
-        let limit = self.timing.contact_limit.mul_f64(SILENT_LINK_SHARE);
-        let contacts = self.contacts.values();
-        let silent = contacts.filter(|contact| now.saturating_sub(contact.received_at) > limit);
+        let timing = &self.timing;
+        let silent = self.contacts.values().filter(|contact| {
+            let limit = if contact.is_in_use {
+                timing.contact_limit.mul_f64(SILENT_LINK_SHARE)
+            } else {
+                timing.idle_heartbeat() * IDLE_LINK_HEARTBEATS
+            };
+            now.saturating_sub(contact.received_at) > limit
+        });
         silent.filter_map(|contact| contact.link).collect()
     }
 
@@ -252,13 +262,12 @@
         pause: std::time::Duration,
     ) -> Vec<(LinkId, AgentFrame)> {
         let offer = self.offer(now);
-        let heartbeat = self.timing.heartbeat;
+        let profile = self.profile();
+        let timing = self.timing;
         let mut frames = Vec::new();
         for contact in self.contacts.values_mut() {
             let Some(link) = contact.link else { continue };
-            let since = now.saturating_sub(contact.sent_at);
-            let has_reports = contact.sent_report < contact.last_report;
-            if !(has_reports || since >= heartbeat || (contact.has_news && since >= pause)) {
+            if !contact.is_due(now, &timing, pause, offer.accepts) {
                 continue;
             }
             let sent = contact.sent_report;
@@ -267,33 +276,38 @@
             contact.sent_report = contact.last_report;
             contact.sent_at = now;
             contact.has_news = false;
+            let profile = (!contact.has_profile).then(|| profile.clone());
+            contact.has_profile = true;
+            contact.said_accepts = offer.accepts;
             let stamp_ms = now.as_millis() as u64;
             let orders_seen = contact.orders_seen;
-            frames
-                .push((link, AgentFrame { stamp_ms, orders_seen, offer: offer.clone(), reports }));
+            frames.push((link, AgentFrame { stamp_ms, orders_seen, profile, offer, reports }));
         }
         frames
     }
 
     /// Returns whether a frame should go out before the next heartbeat.
     pub fn has_news(&self) -> bool {
-        self.contacts.values().any(|contact| contact.link.is_some() && contact.has_news)
+        let is_used = |it: &Contact| it.link.is_some() && it.is_in_use && it.has_news;
+        self.contacts.values().any(is_used)
     }
 
-    fn offer(&self, now: BootTime) -> Offer {
-        let released_cpu_millis = self.released_cpu_millis;
-        let Some(target) = &self.target else {
-            return Offer { released_cpu_millis, ..Offer::default() };
-        };
+    fn profile(&self) -> Profile {
+        let Some(target) = &self.target else { return Profile::default() };
         let announcement = &target.announcement;
-        Offer {
+        Profile {
             service: announcement.service.clone(),
             labels: announcement.labels.clone(),
             zone: announcement.zone.clone(),
             total: announcement.capacity,
+        }
+    }
+
+    fn offer(&self, now: BootTime) -> Offer {
+        Offer {
             free: self.free(now),
             accepts: self.accepts(now),
-            released_cpu_millis,
+            released_cpu_millis: self.released_cpu_millis,
         }
     }
 
@@ -340,6 +354,12 @@
         self.target.as_mut().map(|target| target.lease(now, lease, longest))
     }
 
+    fn renew_profiles(&mut self) {
+        for contact in self.contacts.values_mut() {
+            contact.has_profile = false;
+        }
+    }
+
     fn note_news(&mut self) {
         for contact in self.contacts.values_mut() {
             contact.has_news = true;
@@ -352,3 +372,5 @@
 /// Share of the contact limit without a frame after which a link is replaced, which leaves time for
 /// a new one before the entry counts as silent.
 const SILENT_LINK_SHARE: f64 = 0.6;
+/// Heartbeats that may be missing on a link that is not in use before it is replaced.
+const IDLE_LINK_HEARTBEATS: u32 = 3;
--- a/crates/bulrushlatch_dispatch/src/agent/orders.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/orders.rs
@@ -22,6 +22,7 @@
         // A stamp is ours: it proves that the entry was alive after we had sent it.
         let stamp = BootTime::from_millis(frame.stamp_echo_ms).min(now);
         contact.heard_at = contact.heard_at.max(stamp);
+        contact.is_in_use = frame.is_in_use;
         contact.acknowledge(frame.reports_seen);
         for order in frame.orders {
             let Some(contact) = self.contacts.get_mut(entry) else { return };
--- a/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -1,13 +1,10 @@
 //! What an entry knows of one life of an agent.
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::Duration,
-};
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::{
     clock::BootTime,
-    frame::{Action, AgentFrame, EntryFrame, Offer, Order},
+    frame::{Action, AgentFrame, EntryFrame, Offer, Order, Profile},
     ids::{LinkId, OrderNumber, ReportNumber, TaskKey},
     size::Size,
     timing::Timing,
@@ -28,6 +25,10 @@
 pub struct AgentView {
     /// The open link, if there is one.
     pub link: Option<LinkId>,
+    /// Whether tasks are placed there.
+    pub is_in_use: bool,
+    /// What the agent's target is.
+    pub profile: Profile,
     /// What the agent said it can take.
     pub offer: Offer,
     /// When its last frame arrived; it stops our runs a bounded time after we sent that stamp back.
@@ -51,6 +52,8 @@
     pub fn new(link: LinkId, now: BootTime) -> Self {
         Self {
             link: Some(link),
+            is_in_use: false,
+            profile: Profile::default(),
             offer: Offer::default(),
             received_at: now,
             is_synced: false,
@@ -92,7 +95,10 @@
             0 => 0,
             before => frame.offer.released_cpu_millis.saturating_sub(before),
         };
-        self.offer = frame.offer.clone();
+        self.offer = frame.offer;
+        if let Some(profile) = &frame.profile {
+            self.profile = profile.clone();
+        }
         self.received_at = now;
         self.stamp_ms = frame.stamp_ms;
         (undelivered, released)
@@ -131,7 +137,7 @@
 
     /// Returns whether new tasks may be placed there.
     pub fn is_open(&self, now: BootTime, timing: &Timing) -> bool {
-        self.offer.accepts && self.is_fresh(now, timing)
+        self.is_in_use && self.offer.accepts && self.is_fresh(now, timing)
     }
 
     /// Returns whether no run of ours can be left there although nothing has been heard.
@@ -162,10 +168,19 @@
         number
     }
 
+    /// Begins or ends to place tasks there; the agent hears of it at once.
+    pub fn set_in_use(&mut self, is_in_use: bool) {
+        if self.is_in_use != is_in_use {
+            self.is_in_use = is_in_use;
+            self.sent_at = BootTime::ZERO;
+        }
+    }
+
     /// Returns the frame that is due, if any.
-    pub fn frame(&mut self, now: BootTime, heartbeat: Duration) -> Option<(LinkId, EntryFrame)> {
+    pub fn frame(&mut self, now: BootTime, timing: &Timing) -> Option<(LinkId, EntryFrame)> {
         let link = self.link?;
-        let is_due = now.saturating_sub(self.sent_at) >= heartbeat;
+        let pause = if self.is_in_use { timing.heartbeat } else { timing.idle_heartbeat() };
+        let is_due = now.saturating_sub(self.sent_at) >= pause;
         if !self.is_synced || (self.pending.is_empty() && !is_due) {
             return None;
         }
@@ -173,8 +188,8 @@
         let frame = EntryFrame {
             stamp_echo_ms: self.stamp_ms,
             reports_seen: self.reports_seen,
+            is_in_use: self.is_in_use,
             orders: std::mem::take(&mut self.pending),
-            entries: Vec::new(),
         };
         Some((link, frame))
     }
--- a/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
@@ -165,14 +165,14 @@
     /// takes its service's work.
     fn supply(&self, now: BootTime, route: &Route, latest_start: BootTime) -> Option<Supply> {
         let agents = self.agents.values().filter(|agent| {
-            agent.offer.service == route.service && agent.is_open(now, &self.timing)
+            agent.profile.service == route.service && agent.is_open(now, &self.timing)
         });
         let mut free_cpu_millis = 0;
         let mut total_cpu_millis = 0;
         let mut count = 0;
         for agent in agents {
             free_cpu_millis += agent.free().cpu_millis;
-            total_cpu_millis += agent.offer.total.cpu_millis;
+            total_cpu_millis += agent.profile.total.cpu_millis;
             count += 1;
         }
         let reserve = admission::reserve_cpu_millis(total_cpu_millis, self.is_most_urgent(route));
@@ -183,7 +183,7 @@
             job.request.steps.get(task.step as usize)
         });
         let queued_cpu_millis = queued.map(|step| step.size.cpu_millis).sum();
-        let released_cpu_millis_per_s = self.released.cpu_millis_per_s() / f64::from(self.entries);
+        let released_cpu_millis_per_s = self.released.cpu_millis_per_s() / self.sharing_entries();
         let supply = Supply { free_cpu_millis, queued_cpu_millis, released_cpu_millis_per_s };
         (count > 0).then_some(supply)
     }
--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -66,14 +66,14 @@
         let step = job.request.steps.get(key.step as usize)?;
         let task = job.task(key)?;
         let open = self.agents.iter().filter(|(_, view)| {
-            view.offer.service == job.route.service && view.is_open(now, &self.timing)
+            view.profile.service == job.route.service && view.is_open(now, &self.timing)
         });
         let candidates = open.map(|(agent, view)| Candidate {
             agent,
             free: view.free(),
-            total: view.offer.total,
-            labels: &view.offer.labels,
-            is_near: view.offer.zone == self.zone,
+            total: view.profile.total,
+            labels: &view.profile.labels,
+            is_near: view.profile.zone == self.zone,
             slowness: view.slowness,
             same_step: view
                 .runs
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`admission`]: whether a job is taken or refused when it arrives
 //! - [`placement`]: at which agent a task is started
+//! - [`subset`]: which agents an entry uses
 //! - [`agent_view`]: what is known of an agent
 //! - [`job_state`]: a job being worked on
 //! - [`run_times`], [`release_rate`]: what was learned
@@ -14,6 +15,7 @@
 pub mod placement;
 pub mod release_rate;
 pub mod run_times;
+pub mod subset;
 mod arrivals;
 mod dispatch;
 mod endings;
@@ -39,6 +41,9 @@
     release_rate::ReleaseRate, run_times::RunTimes,
 };
 
+/// Pause between choices of the agents in use, while none comes.
+const CHOICE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Counters since the start of the process.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EntryCounters {
@@ -74,6 +79,10 @@
     timing: Timing,
     zone: String,
     rng: fastrand::Rng,
+    /// Decides which agents this entry uses.
+    seed: u64,
+    /// When the agents in use were last chosen.
+    chosen_at: BootTime,
     table: Option<RoutingTable>,
     agents: BTreeMap<ProcessId, AgentView>,
     jobs: BTreeMap<JobId, JobState>,
@@ -98,6 +107,8 @@
             timing,
             zone,
             rng: fastrand::Rng::with_seed(seed),
+            seed,
+            chosen_at: BootTime::ZERO,
             table: None,
             agents: BTreeMap::new(),
             jobs: BTreeMap::new(),
@@ -179,8 +190,8 @@
 
     /// Returns the frames that are due.
     pub fn frames(&mut self, now: BootTime) -> Vec<(LinkId, EntryFrame)> {
-        let heartbeat = self.timing.heartbeat;
-        self.agents.values_mut().filter_map(|agent| agent.frame(now, heartbeat)).collect()
+        let timing = self.timing;
+        self.agents.values_mut().filter_map(|agent| agent.frame(now, &timing)).collect()
     }
 
     /// Opens a link to an agent.
@@ -209,8 +220,15 @@
         if view.link != Some(link) {
             return;
         }
+        let did_accept = view.offer.accepts;
         let (undelivered, released) = view.receive(now, &frame);
-        self.released.note(now, released);
+        let is_in_use = view.is_in_use;
+        if is_in_use {
+            self.released.note(now, released);
+        }
+        if frame.profile.is_some() || (frame.offer.accepts && !is_in_use && !did_accept) {
+            self.choose_agents(now);
+        }
         for task in undelivered {
             let order = self.agents.get(agent).and_then(|view| view.runs.get(&task).copied());
             let Some(order) = order else { continue };
@@ -238,6 +256,9 @@
         self.observe(now);
         self.released.note(now, 0);
         self.settle_lost_agents(now);
+        if now.saturating_sub(self.chosen_at) >= CHOICE_INTERVAL {
+            self.choose_agents(now);
+        }
         self.stop_stuck(now);
         self.give_up_late(now);
         self.place_waiting(now);
@@ -263,6 +284,34 @@
         }
     }
 
+    /// Chooses the agents at which tasks are placed; one that still has runs stays in use.
+    fn choose_agents(&mut self, now: BootTime) {
+        self.chosen_at = now;
+        let long_silent = self.timing.idle_heartbeat() * 2;
+        let usable = self.agents.iter().filter(|(_, view)| {
+            let is_heard = now.saturating_sub(view.received_at) <= long_silent;
+            view.link.is_some() && view.offer.accepts && is_heard
+        });
+        let members = usable.map(|(agent, view)| subset::Member {
+            agent,
+            service: &view.profile.service,
+            is_near: view.profile.zone == self.zone,
+        });
+        let chosen: BTreeSet<ProcessId> =
+            subset::choose(self.seed, members).into_iter().cloned().collect();
+        for (agent, view) in &mut self.agents {
+            view.set_in_use(chosen.contains(agent) || !view.runs.is_empty());
+        }
+    }
+
+    /// Returns how many entries share the agents in use.
+    fn sharing_entries(&self) -> f64 {
+        let linked = self.agents.values().filter(|view| view.link.is_some()).count();
+        let in_use = self.agents.values().filter(|view| view.is_in_use).count();
+        let share = in_use as f64 / linked.max(1) as f64;
+        (f64::from(self.entries) * share).max(1.0)
+    }
+
     /// Ends the runs at agents that have not been heard from until none can be left.
     fn settle_lost_agents(&mut self, now: BootTime) {
         let timing = self.timing;
--- a/crates/bulrushlatch_dispatch/src/frame.rs
+++ b/crates/bulrushlatch_dispatch/src/frame.rs
@@ -10,9 +10,14 @@
     size::Size,
 };
 
+/// Version of the frames; processes of different versions do not link.
+pub const FRAME_VERSION: u32 = 1;
+
 /// First frame in both directions of a link.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
+    /// [`FRAME_VERSION`] of the speaker.
+    pub version: u32,
     /// Who speaks.
     pub process: ProcessId,
     /// What it is.
@@ -38,16 +43,17 @@
     pub stamp_ms: u64,
     /// Highest number of this entry's orders that was processed.
     pub orders_seen: OrderNumber,
+    /// What the target is, when it has changed and on a new link.
+    pub profile: Option<Profile>,
     /// What the agent can take.
     pub offer: Offer,
     /// Ends of runs that the entry has not acknowledged.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub reports: Vec<Report>,
 }
 
-/// What an agent can take.
+/// What a target is.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Offer {
+pub struct Profile {
     /// Service of the target; empty while there is no target.
     pub service: ServiceName,
     /// Labels of the target.
@@ -56,7 +62,12 @@
     pub zone: String,
     /// All that the target has.
     pub total: Size,
-    /// What is free of it.
+}
+
+/// What an agent can take.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Offer {
+    /// What is free of the target.
     pub free: Size,
     /// Whether new tasks are taken.
     pub accepts: bool,
@@ -88,12 +99,10 @@
     pub stamp_echo_ms: u64,
     /// Highest number of the agent's reports that was processed.
     pub reports_seen: ReportNumber,
+    /// Whether the entry places tasks at this agent and wants to know what it can take at once.
+    pub is_in_use: bool,
     /// New orders.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub orders: Vec<Order>,
-    /// Addresses of all known entries, when they have changed.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub entries: Vec<SocketAddr>,
 }
 
 /// An order to an agent.
@@ -139,12 +148,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PeerFrame {
     /// A configuration record as it stands in the store, if it is newer than what was sent before.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub configuration: Option<String>,
-    /// Addresses of all known entries, when they have changed.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub entries: Vec<SocketAddr>,
     /// Jobs that were cancelled at the sender, which does not know them.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub cancelled: Vec<JobId>,
 }
--- a/crates/bulrushlatch_dispatch/src/timing.rs
+++ b/crates/bulrushlatch_dispatch/src/timing.rs
@@ -26,6 +26,9 @@
 /// Share of the contact limit between two heartbeats, so that two may be late.
 const HEARTBEAT_SHARE: f64 = 0.25;
 
+/// Heartbeats that become one on a link that is not in use.
+const IDLE_HEARTBEATS: u32 = 6;
+
 /// Time bounds of a site.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
@@ -55,6 +58,11 @@
         }
     }
 
+    /// Returns the longest pause between two frames on a link that is not in use.
+    pub fn idle_heartbeat(&self) -> Duration {
+        self.heartbeat * IDLE_HEARTBEATS
+    }
+
     /// Returns the longest time for which a lease may hold on our clock.
     pub fn longest_lease(&self) -> Duration {
         self.lease.div_f64(1.0 - CLOCK_DRIFT)
--- a/crates/bulrushlatch_dispatch/tests/one_run/world.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world.rs
@@ -43,11 +43,11 @@
 /// Pause between attempts to open a missing link.
 const DIAL_MS: u64 = 30;
 /// Time after which an agent gives up on an order without an answer.
-const ORDER_PATIENCE_MS: u64 = 60;
+const ORDER_PATIENCE_MS: u64 = 30;
 /// Time for which a target holds back a look.
-const LOOK_WAIT_MS: u64 = 120;
+const LOOK_WAIT_MS: u64 = 100;
 /// Time after which an agent gives up on a look.
-const LOOK_PATIENCE_MS: u64 = 240;
+const LOOK_PATIENCE_MS: u64 = 150;
 /// Share of orders that are carried out late, while that fault lasts.
 const LATE_SHARE: f64 = 0.4;
 /// Time of boot: not zero, as on a real VM.
@@ -78,33 +78,114 @@
 }
 
 enum Event {
-    EntryFrame { entry: usize, life: u64, link: LinkId, agent: ProcessId, frame: AgentFrame },
-    AgentFrame { agent: usize, life: u64, link: LinkId, entry: ProcessId, frame: EntryFrame },
-    EntryLinkDown { entry: usize, life: u64, link: LinkId, agent: ProcessId },
-    AgentLinkDown { agent: usize, life: u64, link: LinkId, entry: ProcessId },
-    EntryLinkUp { entry: usize, life: u64, link: LinkId, agent: ProcessId },
-    AgentLinkUp { agent: usize, life: u64, link: LinkId, entry: ProcessId },
-    TickEntry { entry: usize, life: u64 },
-    TickAgent { agent: usize, life: u64 },
-    Dial { agent: usize },
-    AtTarget { agent: usize, life: u64, call: Call, answers: bool },
-    Started { agent: usize, life: u64, start: BegunStart, reply: StartReply, clock_ms: Option<u64> },
-    Stopped { agent: usize, life: u64, stop: StopOrder, clock_ms: u64 },
-    Looked { agent: usize, life: u64, id: String, asked_ms: u64, look: Result<Look, TargetFault> },
-    Heartbeat { agent: usize },
+    EntryFrame {
+        entry: usize,
+        life: u64,
+        link: LinkId,
+        agent: ProcessId,
+        frame: AgentFrame,
+    },
+    AgentFrame {
+        agent: usize,
+        life: u64,
+        link: LinkId,
+        entry: ProcessId,
+        frame: EntryFrame,
+    },
+    EntryLinkDown {
+        entry: usize,
+        life: u64,
+        link: LinkId,
+        agent: ProcessId,
+    },
+    AgentLinkDown {
+        agent: usize,
+        life: u64,
+        link: LinkId,
+        entry: ProcessId,
+    },
+    EntryLinkUp {
+        entry: usize,
+        life: u64,
+        link: LinkId,
+        agent: ProcessId,
+    },
+    AgentLinkUp {
+        agent: usize,
+        life: u64,
+        link: LinkId,
+        entry: ProcessId,
+    },
+    TickEntry {
+        entry: usize,
+        life: u64,
+    },
+    TickAgent {
+        agent: usize,
+        life: u64,
+    },
+    Dial {
+        agent: usize,
+    },
+    AtTarget {
+        agent: usize,
+        life: u64,
+        call: Call,
+        answers: bool,
+    },
+    Started {
+        agent: usize,
+        life: u64,
+        start: BegunStart,
+        reply: StartReply,
+        clock_ms: Option<u64>,
+    },
+    Stopped {
+        agent: usize,
+        life: u64,
+        stop: StopOrder,
+        clock_ms: u64,
+    },
+    Looked {
+        agent: usize,
+        life: u64,
+        id: String,
+        asked_ms: u64,
+        look: Result<Look, TargetFault>,
+        repeats: bool,
+    },
+    Heartbeat {
+        agent: usize,
+    },
     NewJob,
-    Submit { job: usize },
-    CallerGone { entry: usize, life: u64, caller: CallerId },
+    Submit {
+        job: usize,
+    },
+    CallerGone {
+        entry: usize,
+        life: u64,
+        caller: CallerId,
+    },
     Strike(Strike),
     Calm(Strike),
-    Restart { agent: Option<usize>, entry: Option<usize> },
+    Restart {
+        agent: Option<usize>,
+        entry: Option<usize>,
+    },
 }
 
 #[derive(Clone)]
 enum Call {
     Start(BegunStart),
     Stop(StopOrder),
-    Look { id: String, asked_ms: u64, until_ms: Option<u64>, seen: u64, give_up_ms: u64 },
+    Look {
+        id: String,
+        asked_ms: u64,
+        until_ms: Option<u64>,
+        seen: u64,
+        give_up_ms: u64,
+        repeats: bool,
+    },
 }
 
 struct Process<P> {
@@ -378,9 +459,12 @@
                 self.after(ORDER_PATIENCE_MS, event);
             }
             Call::Stop(_) => {}
-            Call::Look { id, asked_ms, .. } => {
+            Call::Look { id, asked_ms, repeats, .. } => {
                 let look = Err(TargetFault::NoAnswer);
-                self.after(LOOK_PATIENCE_MS, Event::Looked { agent, life, id, asked_ms, look });
+                self.after(
+                    LOOK_PATIENCE_MS,
+                    Event::Looked { agent, life, id, asked_ms, look, repeats },
+                );
             }
         }
     }
@@ -406,27 +490,28 @@
                     self.after(1, Event::Stopped { agent, life, stop, clock_ms });
                 }
             }
-            Call::Look { id, asked_ms, until_ms, seen, give_up_ms } => {
+            Call::Look { id, asked_ms, until_ms, seen, give_up_ms, repeats } => {
                 if id != target.id {
                     let look = Err(TargetFault::OtherTarget);
-                    self.after(1, Event::Looked { agent, life, id, asked_ms, look });
+                    self.after(1, Event::Looked { agent, life, id, asked_ms, look, repeats });
                     return;
                 }
                 target.renew(until_ms, now_ms);
                 if !target.has_ends(seen) && now_ms < give_up_ms && answers {
-                    let call = Call::Look { id, asked_ms, until_ms: None, seen, give_up_ms };
+                    let call =
+                        Call::Look { id, asked_ms, until_ms: None, seen, give_up_ms, repeats };
                     self.after(1, Event::AtTarget { agent, life, call, answers });
                     return;
                 }
                 let look = Ok(target.look(now_ms, seen));
                 if answers {
-                    self.after(1, Event::Looked { agent, life, id, asked_ms, look });
+                    self.after(1, Event::Looked { agent, life, id, asked_ms, look, repeats });
                 }
             }
         }
     }
 
-    fn look(&mut self, agent: usize, life: u64) {
+    fn look(&mut self, agent: usize, life: u64, wait_ms: u64) {
         let asked_ms = self.now_ms;
         let mut asked = None;
         self.with_agent(agent, life, |core, now| {
@@ -434,8 +519,9 @@
             asked = core.target_id().cloned().map(|id| (id, until_ms, core.ends_seen()));
         });
         let Some((id, until_ms, seen)) = asked else { return };
-        let give_up_ms = asked_ms + LOOK_WAIT_MS;
-        self.call(agent, life, Call::Look { id, asked_ms, until_ms, seen, give_up_ms });
+        let give_up_ms = asked_ms + wait_ms;
+        let repeats = wait_ms > 0;
+        self.call(agent, life, Call::Look { id, asked_ms, until_ms, seen, give_up_ms, repeats });
     }
 
     fn is_cut(&self, entry: usize, agent: usize) -> Option<u64> {
@@ -774,10 +860,16 @@
                 });
             }
             Event::Stopped { agent, life, stop, clock_ms } => {
-                self.with_agent(agent, life, |core, now| core.stop_answered(now, &stop, clock_ms));
+                let mut is_open = false;
+                self.with_agent(agent, life, |core, now| {
+                    is_open = core.stop_answered(now, &stop, clock_ms);
+                });
+                if is_open {
+                    self.look(agent, life, 0);
+                }
             }
-            Event::Looked { agent, life, id, asked_ms, look } => {
-                self.looked(agent, life, &id, asked_ms, look);
+            Event::Looked { agent, life, id, asked_ms, look, repeats } => {
+                self.looked(agent, life, &id, asked_ms, look, repeats);
             }
             Event::Heartbeat { agent } => self.heartbeat(agent),
             Event::NewJob => self.new_job(),
@@ -809,6 +901,7 @@
         id: &String,
         asked_ms: u64,
         look: Result<Look, TargetFault>,
+        repeats: bool,
     ) {
         let asked_at = Duration::from_millis(asked_ms);
         self.with_agent(agent, life, |core, now| match look {
@@ -817,8 +910,8 @@
             }
             Err(fault) => core.look_failed(now, id, fault),
         });
-        if self.agents[agent].id.incarnation == life {
-            self.look(agent, life);
+        if repeats && self.agents[agent].id.incarnation == life {
+            self.look(agent, life, LOOK_WAIT_MS);
         }
     }
 
@@ -847,7 +940,7 @@
                 .and_then(|core| core.target_id())
                 .is_some_and(|id| !known.contains(id));
             if is_new {
-                self.look(agent, life);
+                self.look(agent, life, LOOK_WAIT_MS);
             }
         }
         self.after(150, Event::Heartbeat { agent });
--- a/crates/bulrushlatch_dispatch/tests/support/mod.rs
+++ b/crates/bulrushlatch_dispatch/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use bulrushlatch_dispatch::{
     clock::BootTime,
     entry::{Entry, Submission},
-    frame::{Action, AgentFrame, Offer, Order, Report, StartOrder},
+    frame::{Action, AgentFrame, Offer, Order, Profile, Report, StartOrder},
     ids::{CallerId, LinkId, ProcessId},
     job::{JobRequest, Step},
     outcome::{Answer, RunOutcome},
@@ -69,6 +69,7 @@
 pub struct FakeAgent {
     pub id: ProcessId,
     pub link: LinkId,
+    pub profile: Profile,
     pub offer: Offer,
     pub orders_seen: u64,
     pub reports: u64,
@@ -78,23 +79,30 @@
 impl FakeAgent {
     pub fn new(name: &str, link: LinkId, cpu_millis: u64) -> Self {
         let total = Size { cpu_millis, memory_mb: 32_000, accelerators: 0 };
-        let offer = Offer {
+        let profile = Profile {
             service: "service".to_owned(),
             labels: Vec::new(),
             zone: "a".to_owned(),
             total,
-            free: total,
-            accepts: true,
-            released_cpu_millis: 0,
         };
-        Self { id: process(name), link, offer, orders_seen: 0, reports: 0, orders: Vec::new() }
+        let offer = Offer { free: total, accepts: true, released_cpu_millis: 0 };
+        Self {
+            id: process(name),
+            link,
+            profile,
+            offer,
+            orders_seen: 0,
+            reports: 0,
+            orders: Vec::new(),
+        }
     }
 
     pub fn frame(&self, now: BootTime, reports: Vec<Report>) -> AgentFrame {
         AgentFrame {
             stamp_ms: now.as_millis() as u64,
             orders_seen: self.orders_seen,
-            offer: self.offer.clone(),
+            profile: Some(self.profile.clone()),
+            offer: self.offer,
             reports,
         }
     }
--- a/crates/bulrushlatch_node/src/agent/links.rs
+++ b/crates/bulrushlatch_node/src/agent/links.rs
@@ -4,7 +4,7 @@
 
 use bulrushlatch_dispatch::{
     clock::BootClock,
-    frame::{Hello, Role},
+    frame::{FRAME_VERSION, Hello, Role},
 };
 
 use super::AgentProcess;
@@ -48,7 +48,12 @@
         loop {
             if let Ok((sender, mut receiver)) = link::connect(address).await {
                 let process = self.process.clone();
-                sender.send(Frame::Hello(Hello { process, role: Role::Agent, address: None }));
+                sender.send(Frame::Hello(Hello {
+                    version: FRAME_VERSION,
+                    process,
+                    role: Role::Agent,
+                    address: None,
+                }));
                 if let Some(hello) = receiver.greeting(GREETING_PATIENCE).await {
                     pause = RECONNECT_PAUSE;
                     self.serve_entry(address, hello, sender, receiver).await;
@@ -79,12 +84,12 @@
             if !self.links.borrow().contains_key(&link) {
                 break;
             }
-            if let Frame::Entry(frame) = frame {
-                let now = self.clock.now();
-                for address in &frame.entries {
-                    self.directory.borrow_mut().hear(*address, now);
+            match frame {
+                Frame::Entry(frame) => {
+                    self.act(|core, now| core.receive(now, &entry, link, frame));
                 }
-                self.act(|core, now| core.receive(now, &entry, link, frame));
+                Frame::Entries(entries) => self.hear_of_entries(&entries),
+                Frame::Hello(_) | Frame::Agent(_) | Frame::Peer(_) => {}
             }
         }
         self.links.borrow_mut().remove(&link);
@@ -92,6 +97,13 @@
         tracing::info!(%entry, link, "entry's link closed");
     }
 
+    fn hear_of_entries(&self, entries: &[SocketAddr]) {
+        let now = self.clock.now();
+        for address in entries {
+            self.directory.borrow_mut().hear(*address, now);
+        }
+    }
+
     /// Gives up links on which nothing arrives, so that new ones are opened.
     pub(super) fn drop_silent_links(&self) {
         let silent = self.core.borrow().silent_links(self.clock.now());
--- a/crates/bulrushlatch_node/src/entry/links.rs
+++ b/crates/bulrushlatch_node/src/entry/links.rs
@@ -4,7 +4,7 @@
 
 use bulrushlatch_dispatch::{
     clock::BootClock,
-    frame::{EntryFrame, Hello, PeerFrame, Role},
+    frame::{FRAME_VERSION, Hello, PeerFrame, Role},
     ids::{JobId, LinkId, ProcessId},
 };
 use tokio::net::TcpListener;
@@ -33,6 +33,7 @@
 impl<C: CallerInterface, S: SiteStore> EntryProcess<C, S> {
     fn hello(&self) -> Frame {
         Frame::Hello(Hello {
+            version: FRAME_VERSION,
             process: self.process.clone(),
             role: Role::Entry,
             address: Some(self.settings.link_listen),
@@ -68,7 +69,7 @@
         let link = self.next_id();
         self.links.borrow_mut().insert(link, sender);
         self.act(|core, now| core.link_up(now, agent.clone(), link));
-        self.tell_agent_entries(link);
+        self.send(link, Frame::Entries(self.known_entries()));
         while let Some(frame) = receiver.receive().await {
             if !self.links.borrow().contains_key(&link) {
                 break;
@@ -81,12 +82,6 @@
         self.act(|core, now| core.link_down(now, &agent, link));
     }
 
-    fn tell_agent_entries(&self, link: LinkId) {
-        let entries = self.known_entries();
-        let frame = EntryFrame { stamp_echo_ms: 0, reports_seen: 0, orders: Vec::new(), entries };
-        self.send(link, Frame::Entry(frame));
-    }
-
     fn known_entries(&self) -> Vec<SocketAddr> {
         let mut entries = self.directory.borrow().known();
         entries.push(self.settings.link_listen);
@@ -107,14 +102,8 @@
 
     fn tell_everybody_entries(&self) {
         let links: Vec<LinkId> = self.links.borrow().keys().copied().collect();
-        let peers = self.peers.borrow().clone();
         for link in links {
-            if peers.contains_key(&link) {
-                let entries = self.known_entries();
-                self.send(link, Frame::Peer(PeerFrame { entries, ..PeerFrame::default() }));
-            } else {
-                self.tell_agent_entries(link);
-            }
+            self.send(link, Frame::Entries(self.known_entries()));
         }
     }
 
@@ -166,6 +155,7 @@
                     received_at = self.clock.now();
                     match frame {
                         Some(Frame::Peer(frame)) => self.receive_from_peer(frame),
+                        Some(Frame::Entries(entries)) => self.hear_of_entries(entries),
                         Some(_) => {}
                         None => break,
                     }
@@ -193,20 +183,23 @@
 
     fn greet_peer(&self, link: LinkId) {
         let configuration = self.configuration.borrow().as_ref().map(text_of);
-        let frame =
-            PeerFrame { configuration, entries: self.known_entries(), cancelled: Vec::new() };
+        let frame = PeerFrame { configuration, ..PeerFrame::default() };
         self.send(link, Frame::Peer(frame));
+        self.send(link, Frame::Entries(self.known_entries()));
     }
 
-    fn receive_from_peer(&self, frame: PeerFrame) {
+    fn hear_of_entries(&self, entries: Vec<SocketAddr>) {
         let now = self.clock.now();
-        for address in frame.entries {
+        for address in entries {
             let is_own = address == self.settings.link_listen;
             if !is_own && self.directory.borrow_mut().hear(address, now) {
                 tracing::info!(%address, "entry named by another");
                 self.tell_everybody_entries();
             }
         }
+    }
+
+    fn receive_from_peer(&self, frame: PeerFrame) {
         if let Some(text) = frame.configuration {
             let record =
                 KeyedRecord { key: self.store.routes_key().to_owned(), value: text.into_bytes() };
--- a/crates/bulrushlatch_node/src/link.rs
+++ b/crates/bulrushlatch_node/src/link.rs
@@ -1,8 +1,8 @@
-//! Links between processes: frames of JSON with their length in front, over TCP.
+//! Links between processes: frames in postcard's format with their length in front, over TCP.
 
 use std::{net::SocketAddr, time::Duration};
 
-use bulrushlatch_dispatch::frame::{AgentFrame, EntryFrame, Hello, PeerFrame};
+use bulrushlatch_dispatch::frame::{AgentFrame, EntryFrame, FRAME_VERSION, Hello, PeerFrame};
 use futures_util::{SinkExt, StreamExt};
 use hyper::body::Bytes;
 use serde::{Deserialize, Serialize};
@@ -28,7 +28,6 @@
 
 /// Anything that is sent on a link.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
 pub enum Frame {
     /// The first frame in both directions.
     Hello(Hello),
@@ -38,6 +37,8 @@
     Entry(EntryFrame),
     /// From an entry to an entry.
     Peer(PeerFrame),
+    /// From an entry to anybody: addresses of all entries it knows.
+    Entries(Vec<SocketAddr>),
 }
 
 /// Sends frames on a link. Dropping it closes the link.
@@ -67,7 +68,7 @@
     pub async fn receive(&mut self) -> Option<Frame> {
         let next = self.closed.run_until_cancelled(self.frames.next());
         let bytes = next.await??.ok()?;
-        match serde_json::from_slice(&bytes) {
+        match postcard::from_bytes(&bytes) {
             Ok(frame) => Some(frame),
             Err(error) => {
                 tracing::info!(%error, "frame cannot be read: closing the link");
@@ -79,7 +80,11 @@
     /// Returns the greeting of the other side, or none if it does not come in time.
     pub async fn greeting(&mut self, patience: Duration) -> Option<Hello> {
         match timeout(patience, self.receive()).await {
-            Ok(Some(Frame::Hello(hello))) => Some(hello),
+            Ok(Some(Frame::Hello(hello))) if hello.version == FRAME_VERSION => Some(hello),
+            Ok(Some(Frame::Hello(hello))) => {
+                tracing::info!(process = %hello.process, version = hello.version, "link refused: other version");
+                None
+            }
             _ => None,
         }
     }
@@ -133,7 +138,7 @@
     writer: &mut FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
     frame: &Frame,
 ) -> bool {
-    match serde_json::to_vec(frame) {
+    match postcard::to_stdvec(frame) {
         Ok(bytes) => writer.feed(Bytes::from(bytes)).await.is_ok(),
         Err(error) => {
             tracing::warn!(%error, "frame cannot be written");
