--- a/crates/bulrushlatch_dispatch/src/entry/admission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/admission.rs
@@ -10,6 +10,9 @@
 /// Range over which returns are spread, so that callers refused together do not return together.
 const RETRY_SPREAD: Duration = Duration::from_secs(2);
 
+/// Share of a job's patience that the expected wait may take up; the rest is for what the
+/// expectation gets wrong.
+const PATIENCE_SHARE: f64 = 0.75;
 /// Share of a service's capacity that jobs leave free for more urgent ones, so that these need not
 /// wait for an end: about what urgent jobs take while a common task runs.
 const URGENT_RESERVE: f64 = 0.06;
@@ -33,10 +36,12 @@
 pub struct Supply {
     /// Free processor at targets that take work, in thousandths of a core.
     pub free_cpu_millis: u64,
-    /// Processor that jobs before this one wait for.
+    /// Processor that jobs of the same route wait for.
     pub queued_cpu_millis: u64,
-    /// This entry's part of the processor set free in a second.
+    /// The part of the processor set free in a second that falls to this entry.
     pub released_cpu_millis_per_s: f64,
+    /// The part of that which falls to the job's route under overload.
+    pub route_share: f64,
 }
 
 /// What to do with a job.
@@ -57,17 +62,22 @@
 /// Decides on a job from what is known when it arrives.
 pub fn decide(demand: &Demand, supply: &Supply) -> Admission {
     let wait = expected_wait(demand, supply);
-    if wait <= demand.patience { Admission::Take { wait } } else { Admission::Refuse { wait } }
+    if wait <= demand.patience.mul_f64(PATIENCE_SHARE) {
+        Admission::Take { wait }
+    } else {
+        Admission::Refuse { wait }
+    }
 }
 
-/// Returns the time until the last of a job's first tasks can start.
+/// Returns the time until the last of a job's first tasks can start: jobs of its route that wait are
+/// served at the route's part of what is released, and then the job itself at once.
 pub fn expected_wait(demand: &Demand, supply: &Supply) -> Duration {
-    let wanted = supply.queued_cpu_millis + demand.cpu_millis;
-    let missing = wanted.saturating_sub(supply.free_cpu_millis);
-    if missing == 0 {
-        return Duration::ZERO;
-    }
-    let seconds = missing as f64 / supply.released_cpu_millis_per_s.max(1.0);
+    let queued = supply.queued_cpu_millis.saturating_sub(supply.free_cpu_millis);
+    let free = supply.free_cpu_millis.saturating_sub(supply.queued_cpu_millis);
+    let missing = demand.cpu_millis.saturating_sub(free);
+    let released_per_s = supply.released_cpu_millis_per_s.max(1.0);
+    let seconds = queued as f64 / (released_per_s * supply.route_share.max(f64::EPSILON))
+        + missing as f64 / released_per_s;
     Duration::from_secs_f64(seconds.min(LONGEST_RETRY.as_secs_f64()))
 }
 
--- a/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
@@ -120,7 +120,8 @@
             patience: objective.saturating_sub(work).saturating_sub(MESSAGE_TIME),
         };
         let latest_start = now + demand.patience;
-        let Some(supply) = self.supply(now, &route, latest_start) else {
+        self.demands.note(now, &route.name, demand.cpu_millis);
+        let Some(supply) = self.supply(now, &route) else {
             self.refuse(now, caller, &job, Refusal::NoTarget, Duration::ZERO);
             return;
         };
@@ -161,9 +162,8 @@
         self.run_times.expected(&route.name, request.longest_chain())
     }
 
-    /// Returns what there is for a job of a route that must start by `latest_start`; none if no agent
-    /// takes its service's work.
-    fn supply(&self, now: BootTime, route: &Route, latest_start: BootTime) -> Option<Supply> {
+    /// Returns what there is for a job of a route; none if no agent takes its service's work.
+    fn supply(&self, now: BootTime, route: &Route) -> Option<Supply> {
         let agents = self.agents.values().filter(|agent| {
             agent.profile.service == route.service && agent.is_open(now, &self.timing)
         });
@@ -177,14 +177,15 @@
         }
         let reserve = admission::reserve_cpu_millis(total_cpu_millis, self.is_most_urgent(route));
         let free_cpu_millis = free_cpu_millis.saturating_sub(reserve);
-        let ahead = self.waiting.iter().take_while(|(start, _)| *start <= latest_start);
-        let queued = ahead.filter_map(|(_, task)| {
-            let job = self.jobs.get(&task.job).filter(|job| job.route.service == route.service)?;
+        let queued = self.waiting.iter().filter_map(|(_, task)| {
+            let job = self.jobs.get(&task.job).filter(|job| job.route.name == route.name)?;
             job.request.steps.get(task.step as usize)
         });
         let queued_cpu_millis = queued.map(|step| step.size.cpu_millis).sum();
         let released_cpu_millis_per_s = self.released.cpu_millis_per_s() / self.sharing_entries();
-        let supply = Supply { free_cpu_millis, queued_cpu_millis, released_cpu_millis_per_s };
+        let route_share = self.demands.share(&route.name);
+        let supply =
+            Supply { free_cpu_millis, queued_cpu_millis, released_cpu_millis_per_s, route_share };
         (count > 0).then_some(supply)
     }
 
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -5,7 +5,7 @@
 //! - [`subset`]: which agents an entry uses
 //! - [`agent_view`]: what is known of an agent
 //! - [`job_state`]: a job being worked on
-//! - [`run_times`], [`release_rate`]: what was learned
+//! - [`run_times`], [`rates`]: what was learned
 //! - [`kept_answers`]: answers for callers who ask again
 
 pub mod admission;
@@ -13,7 +13,7 @@
 pub mod job_state;
 pub mod kept_answers;
 pub mod placement;
-pub mod release_rate;
+pub mod rates;
 pub mod run_times;
 pub mod subset;
 mod arrivals;
@@ -37,8 +37,11 @@
 pub use self::arrivals::Submission;
 
 use self::{
-    agent_view::AgentView, job_state::JobState, kept_answers::KeptAnswers,
-    release_rate::ReleaseRate, run_times::RunTimes,
+    agent_view::AgentView,
+    job_state::JobState,
+    kept_answers::KeptAnswers,
+    rates::{Demands, Rate},
+    run_times::RunTimes,
 };
 
 /// Pause between choices of the agents in use, while none comes.
@@ -91,7 +94,8 @@
     waiting: BTreeSet<(BootTime, TaskKey)>,
     kept: KeptAnswers,
     run_times: RunTimes,
-    released: ReleaseRate,
+    released: Rate,
+    demands: Demands,
     /// Entries that share the targets, this one included.
     entries: u32,
     is_leaving: bool,
@@ -116,7 +120,8 @@
             waiting: BTreeSet::new(),
             kept: KeptAnswers::default(),
             run_times: RunTimes::default(),
-            released: ReleaseRate::default(),
+            released: Rate::default(),
+            demands: Demands::default(),
             entries: 1,
             is_leaving: false,
             last_event_at: BootTime::ZERO,
@@ -255,6 +260,7 @@
     pub fn tick(&mut self, now: BootTime) {
         self.observe(now);
         self.released.note(now, 0);
+        self.demands.expire(now);
         self.settle_lost_agents(now);
         if now.saturating_sub(self.chosen_at) >= CHOICE_INTERVAL {
             self.choose_agents(now);
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/tests/agent.rs
@@ -0,0 +1,386 @@
+//! Single decisions of an agent.
+
+use std::time::Duration;
+
+use bulrushlatch_dispatch::{
+    agent::{
+        Agent, BegunStart, TargetOrder,
+        target::{Announcement, EndedRun, Look, RunEnd, RunningRun, StartReply, TargetFault},
+    },
+    clock::BootTime,
+    frame::{Action, AgentFrame, EntryFrame, Order, StartOrder},
+    ids::{ProcessId, TaskKey},
+    outcome::{Obstacle, RunOutcome},
+    size::Size,
+    timing::Timing,
+};
+
+const BOOT: BootTime = Duration::from_secs(100);
+const PAUSE: Duration = Duration::from_millis(8);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn timing() -> Timing {
+    Timing::new(ms(1300), ms(1000))
+}
+
+fn entry() -> ProcessId {
+    ProcessId { name: "entry".to_owned(), incarnation: 7 }
+}
+
+fn task(index: u32) -> TaskKey {
+    TaskKey { job: format!("job-{index}").into(), step: 0, index: 0 }
+}
+
+fn announcement(id: &str, sequence: u64) -> Announcement {
+    Announcement {
+        id: id.to_owned(),
+        service: "service".to_owned(),
+        zone: "a".to_owned(),
+        capacity: Size { cpu_millis: 4_000, memory_mb: 1_000, accelerators: 0 },
+        labels: Vec::new(),
+        is_leaving: false,
+        clock_ms: 5_000,
+        sequence,
+    }
+}
+
+struct Bench {
+    agent: Agent,
+    now: BootTime,
+    last_order: u64,
+    frames: Vec<AgentFrame>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let mut agent = Agent::new(timing());
+        agent.announced(BOOT, announcement("target", 1));
+        agent.link_up(BOOT, entry(), 1);
+        let mut bench = Self { agent, now: BOOT, last_order: 0, frames: Vec::new() };
+        bench.look(Look::default());
+        bench.say(Vec::new());
+        bench
+    }
+
+    fn say(&mut self, actions: Vec<Action>) {
+        self.say_at(self.now, actions);
+    }
+
+    fn say_at(&mut self, stamp: BootTime, actions: Vec<Action>) {
+        let orders = actions.into_iter().map(|action| {
+            self.last_order += 1;
+            Order { number: self.last_order, action }
+        });
+        let frame = EntryFrame {
+            stamp_echo_ms: stamp.as_millis() as u64,
+            reports_seen: 0,
+            is_in_use: true,
+            orders: orders.collect(),
+        };
+        self.agent.receive(self.now, &entry(), 1, frame);
+    }
+
+    fn look(&mut self, look: Look) {
+        let asked_at = self.now;
+        self.now += ms(1);
+        self.agent.looked(self.now, asked_at, &"target".to_owned(), &look);
+    }
+
+    fn start(&mut self, index: u32, cpu_millis: u64) {
+        self.say(vec![Action::Start(StartOrder {
+            task: task(index),
+            attempt: 1,
+            payload: "payload".into(),
+            size: Size { cpu_millis, memory_mb: 1, accelerators: 0 },
+        })]);
+    }
+
+    fn begun(&mut self) -> Vec<BegunStart> {
+        let orders = self.agent.take_orders();
+        let starts = orders.into_iter().filter_map(|order| match order {
+            TargetOrder::Start(task) => self.agent.begin_start(self.now, &task),
+            TargetOrder::Stop(_) => None,
+        });
+        starts.collect()
+    }
+
+    fn started(&mut self, start: &BegunStart, reply: StartReply) {
+        self.now += ms(1);
+        let clock_ms = (reply != StartReply::NoAnswer).then_some(5_000);
+        self.agent.start_answered(self.now, start, clock_ms, &reply);
+    }
+
+    fn stops(&mut self) -> Vec<bulrushlatch_dispatch::agent::StopOrder> {
+        let orders = self.agent.take_orders();
+        let stops = orders.into_iter().filter_map(|order| match order {
+            TargetOrder::Stop(stop) => Some(stop),
+            TargetOrder::Start(_) => None,
+        });
+        stops.collect()
+    }
+
+    fn outcomes(&mut self) -> Vec<RunOutcome> {
+        self.now += ms(10);
+        let frames = self.agent.frames(self.now, PAUSE);
+        let outcomes = frames.iter().flat_map(|(_, frame)| &frame.reports);
+        let outcomes = outcomes.map(|report| report.outcome).collect();
+        self.frames.extend(frames.into_iter().map(|(_, frame)| frame));
+        outcomes
+    }
+}
+
+fn ended(number: u64, index: u32, attempt: u32, how: RunEnd) -> EndedRun {
+    EndedRun { number, task: Some(task(index)), attempt, how }
+}
+
+fn running(index: u32, attempt: u32) -> RunningRun {
+    RunningRun { task: Some(task(index)), name: task(index).to_string(), attempt }
+}
+
+#[test]
+fn the_time_bounds_hold_together() {
+    assert!(timing().holds());
+    assert!(timing().settled_after() <= ms(1300));
+    assert!(!Timing { lease: ms(1000), ..timing() }.holds());
+    assert!(!Timing { contact_limit: ms(600), ..timing() }.holds());
+    assert!(!Timing { stop_grace: ms(500), ..timing() }.holds());
+}
+
+#[test]
+fn a_run_is_reported_once_it_has_ended() {
+    let mut bench = Bench::new();
+    bench.start(0, 1_000);
+    let starts = bench.begun();
+    bench.started(&starts[0], StartReply::Started);
+    assert!(bench.outcomes().is_empty());
+    bench.look(Look { ended: vec![ended(1, 0, 1, RunEnd::Done)], ..Look::default() });
+    assert_eq!(bench.outcomes(), [RunOutcome::Done]);
+    bench.look(Look { ended: vec![ended(1, 0, 1, RunEnd::Done)], ..Look::default() });
+    assert!(bench.outcomes().is_empty(), "an end counts once");
+}
+
+#[test]
+fn what_does_not_fit_is_not_started() {
+    let mut bench = Bench::new();
+    bench.start(0, 3_000);
+    bench.start(1, 2_000);
+    assert_eq!(bench.begun().len(), 1);
+    assert_eq!(bench.outcomes(), [RunOutcome::NotStarted(Obstacle::NoRoom)]);
+}
+
+#[test]
+fn a_run_being_stopped_takes_its_room_until_its_end_is_listed() {
+    let mut bench = Bench::new();
+    bench.start(0, 3_000);
+    let starts = bench.begun();
+    bench.started(&starts[0], StartReply::Started);
+    bench.say(vec![Action::Stop { task: task(0), order: 1, is_stuck: false }]);
+    let stops = bench.stops();
+    assert_eq!(stops.len(), 1);
+    bench.agent.stop_answered(bench.now, &stops[0], 5_000);
+    bench.start(1, 2_000);
+    assert_eq!(bench.outcomes(), [RunOutcome::NotStarted(Obstacle::NoRoom)]);
+    bench.look(Look { ended: vec![ended(1, 0, 1, RunEnd::Stopped)], ..Look::default() });
+    assert_eq!(bench.outcomes(), [RunOutcome::Stopped]);
+    bench.start(2, 2_000);
+    assert_eq!(bench.begun().len(), 1);
+}
+
+#[test]
+fn an_unanswered_start_is_settled_only_by_an_answered_stop_and_a_later_look() {
+    let mut bench = Bench::new();
+    bench.start(0, 1_000);
+    let starts = bench.begun();
+    bench.started(&starts[0], StartReply::NoAnswer);
+    let stops = bench.stops();
+    assert_eq!(stops.len(), 1);
+    bench.look(Look::default());
+    assert!(bench.outcomes().is_empty(), "the order may still be carried out");
+    bench.agent.stop_answered(bench.now, &stops[0], 5_000);
+    bench.now += ms(1);
+    bench.look(Look::default());
+    assert_eq!(bench.outcomes(), [RunOutcome::Stopped]);
+}
+
+#[test]
+fn a_stop_without_an_answer_is_sent_again() {
+    let mut bench = Bench::new();
+    bench.start(0, 1_000);
+    let starts = bench.begun();
+    bench.started(&starts[0], StartReply::NoAnswer);
+    assert_eq!(bench.stops().len(), 1);
+    bench.now += ms(100);
+    bench.agent.tick(bench.now);
+    assert_eq!(bench.stops().len(), 1);
+}
+
+#[test]
+fn a_higher_attempt_follows_one_that_the_target_has_seen() {
+    let mut bench = Bench::new();
+    bench.start(0, 1_000);
+    let first = bench.begun();
+    bench.started(&first[0], StartReply::OldAttempt);
+    let second = bench.begun();
+    assert_eq!(second[0].attempt, 2);
+    bench.started(&second[0], StartReply::Started);
+    bench.look(Look { ended: vec![ended(1, 0, 2, RunEnd::Done)], ..Look::default() });
+    assert_eq!(bench.outcomes(), [RunOutcome::Done]);
+}
+
+#[test]
+fn runs_of_a_silent_entry_are_stopped() {
+    let mut bench = Bench::new();
+    bench.start(0, 1_000);
+    let starts = bench.begun();
+    bench.started(&starts[0], StartReply::Started);
+    bench.now += timing().contact_limit + ms(5);
+    bench.agent.tick(bench.now);
+    assert_eq!(bench.stops().len(), 1);
+}
+
+#[test]
+fn the_lease_is_not_renewed_while_an_overdue_stop_is_not_confirmed() {
+    let mut bench = Bench::new();
+    bench.start(0, 1_000);
+    let starts = bench.begun();
+    bench.started(&starts[0], StartReply::Started);
+    bench.now += timing().contact_limit + ms(10);
+    assert!(bench.agent.renewal(bench.now).is_some(), "the stop has some time to work");
+    bench.now += timing().stop_grace;
+    assert_eq!(bench.agent.renewal(bench.now), None);
+}
+
+#[test]
+fn an_agent_that_wakes_from_a_suspension_stops_before_it_renews() {
+    let mut bench = Bench::new();
+    bench.start(0, 1_000);
+    let starts = bench.begun();
+    bench.started(&starts[0], StartReply::Started);
+    bench.now += ms(600);
+    assert_eq!(bench.agent.renewal(bench.now), None);
+    assert_eq!(bench.stops().len(), 1);
+}
+
+#[test]
+fn an_order_with_an_old_stamp_starts_nothing() {
+    let mut bench = Bench::new();
+    let old = bench.now;
+    bench.now += timing().contact_limit + ms(50);
+    bench.look(Look::default());
+    let start = StartOrder {
+        task: task(0),
+        attempt: 1,
+        payload: "payload".into(),
+        size: Size { cpu_millis: 1, memory_mb: 1, accelerators: 0 },
+    };
+    bench.say_at(old, vec![Action::Start(start)]);
+    assert!(bench.begun().is_empty());
+    assert_eq!(bench.outcomes(), [RunOutcome::NotStarted(Obstacle::StaleOrder)]);
+}
+
+#[test]
+fn orders_on_a_replaced_link_are_ignored() {
+    let mut bench = Bench::new();
+    bench.agent.link_up(bench.now, entry(), 2);
+    bench.start(0, 1_000);
+    assert!(bench.begun().is_empty());
+    assert!(bench.outcomes().is_empty());
+}
+
+#[test]
+fn an_unknown_run_at_the_target_is_stopped() {
+    let mut bench = Bench::new();
+    bench.look(Look { running: vec![running(9, 4)], ..Look::default() });
+    let stops = bench.stops();
+    assert_eq!(stops.len(), 1);
+    assert_eq!(stops[0].attempt, 4);
+}
+
+#[test]
+fn runs_end_with_the_life_of_the_target() {
+    let mut bench = Bench::new();
+    bench.start(0, 1_000);
+    let starts = bench.begun();
+    bench.started(&starts[0], StartReply::Started);
+    bench.agent.look_failed(bench.now, &"target".to_owned(), TargetFault::Absent);
+    assert_eq!(bench.outcomes(), [RunOutcome::Lost]);
+}
+
+#[test]
+fn runs_at_a_silent_target_are_lost_only_after_its_lease() {
+    let mut bench = Bench::new();
+    bench.start(0, 1_000);
+    let starts = bench.begun();
+    bench.started(&starts[0], StartReply::Started);
+    let renewed_at = bench.now;
+    bench.agent.renewal(bench.now);
+    while bench.now < renewed_at + timing().longest_lease() {
+        bench.say(Vec::new());
+        bench.agent.tick(bench.now);
+        assert!(bench.outcomes().is_empty());
+    }
+    bench.now += ms(10);
+    bench.say(Vec::new());
+    bench.agent.tick(bench.now);
+    assert_eq!(bench.outcomes(), [RunOutcome::Lost]);
+}
+
+#[test]
+fn a_late_announcement_of_a_past_target_changes_nothing() {
+    let mut bench = Bench::new();
+    bench.agent.left(bench.now, &"target".to_owned());
+    bench.agent.announced(bench.now, announcement("next", 1));
+    bench.agent.announced(bench.now, announcement("target", 9));
+    assert_eq!(bench.agent.target_id(), Some(&"next".to_owned()));
+}
+
+#[test]
+fn a_leaving_target_gets_no_new_work_and_finishes_what_it_has() {
+    let mut bench = Bench::new();
+    bench.start(0, 1_000);
+    let starts = bench.begun();
+    bench.started(&starts[0], StartReply::Started);
+    let leaving = Announcement { is_leaving: true, ..announcement("target", 2) };
+    bench.agent.announced(bench.now, leaving);
+    bench.start(1, 1_000);
+    assert_eq!(bench.outcomes(), [RunOutcome::NotStarted(Obstacle::Unavailable)]);
+    assert!(bench.stops().is_empty());
+    bench.look(Look { ended: vec![ended(1, 0, 1, RunEnd::Done)], ..Look::default() });
+    assert_eq!(bench.outcomes(), [RunOutcome::Done]);
+}
+
+#[test]
+fn a_target_that_fails_every_task_is_suspended_and_tried_again() {
+    let mut bench = Bench::new();
+    for index in 0..2 {
+        bench.start(index, 1_000);
+        let starts = bench.begun();
+        bench.started(&starts[0], StartReply::Started);
+        let end = ended(u64::from(index) + 1, index, 1, RunEnd::Failed);
+        bench.look(Look { ended: vec![end], ..Look::default() });
+    }
+    bench.outcomes();
+    assert!(!bench.frames.last().expect("a frame was sent").offer.accepts);
+    bench.now += ms(600);
+    bench.look(Look::default());
+    bench.say(Vec::new());
+    bench.outcomes();
+    assert!(bench.frames.last().expect("a frame was sent").offer.accepts);
+}
+
+#[test]
+fn one_job_that_fails_again_and_again_does_not_suspend_the_target() {
+    let mut bench = Bench::new();
+    for attempt in 1..=5 {
+        bench.start(0, 1_000);
+        let starts = bench.begun();
+        bench.started(&starts[0], StartReply::Started);
+        let end = ended(attempt, 0, 1, RunEnd::Failed);
+        bench.look(Look { ended: vec![end], ..Look::default() });
+        bench.outcomes();
+    }
+    assert!(bench.frames.last().expect("a frame was sent").offer.accepts);
+}
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/tests/load.rs
@@ -0,0 +1,373 @@
+//! Who waits, who is refused and where work goes, under patterns of load.
+//!
+//! One entry and model targets on a virtual clock; no network.
+
+mod support;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bulrushlatch_dispatch::{
+    clock::BootTime,
+    entry::{Entry, Submission},
+    frame::{Action, AgentFrame, Offer, Profile, Report},
+    ids::{CallerId, OrderNumber},
+    outcome::{Answer, Obstacle, RunOutcome},
+    routing::{Route, RoutingTable},
+    size::Size,
+};
+
+use support::{BOOT, job, ms, process, route, timing};
+
+/// Processor of one task.
+const TASK_CPU_MILLIS: u64 = 1_600;
+/// Processor of one target: ten tasks.
+const TARGET_CPU_MILLIS: u64 = 16_000;
+/// Step of the virtual clock.
+const STEP: Duration = Duration::from_millis(1);
+
+/// A kind of job.
+#[derive(Clone, Copy)]
+struct Kind {
+    name: &'static str,
+    priority: u32,
+    tasks: u32,
+    run_ms: u64,
+    per_s: f64,
+}
+
+const PRICE_CHECK: Kind = Kind { name: "price", priority: 0, tasks: 8, run_ms: 60, per_s: 35.0 };
+const AVAILABILITY: Kind =
+    Kind { name: "availability", priority: 1, tasks: 2, run_ms: 200, per_s: 100.0 };
+const PHOTO: Kind = Kind { name: "photo", priority: 2, tasks: 4, run_ms: 900, per_s: 6.25 };
+
+#[derive(Clone, Copy, PartialEq)]
+enum Health {
+    Sound,
+    Failing,
+    Stuck,
+}
+
+struct ModelTarget {
+    name: String,
+    health: Health,
+    running: Vec<(BootTime, OrderNumber, Report)>,
+    reports: Vec<Report>,
+    last_report: u64,
+    orders_seen: u64,
+    free_cpu_millis: u64,
+    released_cpu_millis: u64,
+    starts: u64,
+}
+
+impl ModelTarget {
+    fn new(number: usize) -> Self {
+        Self {
+            name: format!("agent-{number:02}"),
+            health: Health::Sound,
+            running: Vec::new(),
+            reports: Vec::new(),
+            last_report: 0,
+            orders_seen: 0,
+            free_cpu_millis: TARGET_CPU_MILLIS,
+            released_cpu_millis: 0,
+            starts: 0,
+        }
+    }
+
+    fn order(&mut self, now: BootTime, number: OrderNumber, action: Action, run: Duration) {
+        self.orders_seen = number;
+        match action {
+            Action::Start(start) => {
+                let mut report = Report {
+                    number: 0,
+                    order: number,
+                    task: start.task,
+                    attempt: start.attempt,
+                    outcome: RunOutcome::Done,
+                    ran_ms: run.as_millis() as u64,
+                };
+                if self.free_cpu_millis < start.size.cpu_millis {
+                    report.outcome = RunOutcome::NotStarted(Obstacle::NoRoom);
+                    self.report(report);
+                    return;
+                }
+                self.starts += 1;
+                self.free_cpu_millis -= start.size.cpu_millis;
+                let ends_at = match self.health {
+                    Health::Sound => now + run,
+                    Health::Failing => {
+                        report.outcome = RunOutcome::Failed;
+                        now + ms(2)
+                    }
+                    Health::Stuck => BootTime::MAX,
+                };
+                self.running.push((ends_at, number, report));
+            }
+            Action::Stop { order, .. } => {
+                if let Some(run) = self.running.iter_mut().find(|run| run.1 == order) {
+                    run.0 = now;
+                    run.2.outcome = RunOutcome::Stopped;
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, mut report: Report) {
+        self.last_report += 1;
+        report.number = self.last_report;
+        self.reports.push(report);
+    }
+
+    fn end_due(&mut self, now: BootTime) {
+        let (due, running) = self.running.drain(..).partition(|run| run.0 <= now);
+        self.running = running;
+        let due: Vec<(BootTime, OrderNumber, Report)> = due;
+        for (_, _, report) in due {
+            self.free_cpu_millis += TASK_CPU_MILLIS;
+            self.released_cpu_millis += TASK_CPU_MILLIS;
+            self.report(report);
+        }
+    }
+
+    fn frame(&mut self, now: BootTime, is_first: bool) -> AgentFrame {
+        let size = |cpu_millis| Size { cpu_millis, memory_mb: 1_000_000, accelerators: 0 };
+        let profile = Profile {
+            service: "service".to_owned(),
+            labels: Vec::new(),
+            zone: "a".to_owned(),
+            total: size(TARGET_CPU_MILLIS),
+        };
+        AgentFrame {
+            stamp_ms: now.as_millis() as u64,
+            orders_seen: self.orders_seen,
+            profile: is_first.then_some(profile),
+            offer: Offer {
+                free: size(self.free_cpu_millis),
+                accepts: true,
+                released_cpu_millis: self.released_cpu_millis,
+            },
+            reports: std::mem::take(&mut self.reports),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Default, Debug)]
+struct Tally {
+    arrived: u64,
+    in_time: u64,
+    refused: u64,
+    refused_late: u64,
+    other: u64,
+}
+
+impl Tally {
+    fn in_time_share(&self) -> f64 {
+        self.in_time as f64 / self.arrived.max(1) as f64
+    }
+}
+
+struct Site {
+    entry: Entry,
+    targets: Vec<ModelTarget>,
+    now: BootTime,
+    kinds: Vec<Kind>,
+    due: Vec<f64>,
+    open: BTreeMap<CallerId, (usize, BootTime)>,
+    tallies: Vec<Tally>,
+    last_caller: CallerId,
+}
+
+impl Site {
+    fn new(targets: usize, kinds: &[Kind]) -> Self {
+        let mut entry = Entry::new(timing(), "a".to_owned(), 3);
+        let routes = kinds.iter().map(route_of).collect();
+        entry.configure(RoutingTable { version: 1, routes, max_body_bytes: None });
+        let mut targets: Vec<ModelTarget> = (0..targets).map(ModelTarget::new).collect();
+        for (link, target) in targets.iter_mut().enumerate() {
+            entry.link_up(BOOT, process(&target.name), link as u64 + 1);
+            entry.receive(BOOT, &process(&target.name), link as u64 + 1, target.frame(BOOT, true));
+        }
+        Self {
+            entry,
+            targets,
+            now: BOOT,
+            kinds: kinds.to_vec(),
+            due: vec![0.0; kinds.len()],
+            open: BTreeMap::new(),
+            tallies: vec![Tally::default(); kinds.len()],
+            last_caller: 0,
+        }
+    }
+
+    /// Lets time pass under a load of `factor` times the usual one.
+    fn run(&mut self, length: Duration, factor: f64) {
+        let end = self.now + length;
+        while self.now < end {
+            self.now += STEP;
+            for kind in 0..self.kinds.len() {
+                self.due[kind] += self.kinds[kind].per_s * factor * STEP.as_secs_f64();
+                while self.due[kind] >= 1.0 {
+                    self.due[kind] -= 1.0;
+                    self.submit(kind);
+                }
+            }
+            self.step_targets();
+            if (self.now.as_millis()).is_multiple_of(20) {
+                self.entry.tick(self.now);
+            }
+            self.collect();
+        }
+    }
+
+    /// Lets the last jobs end.
+    fn drain(&mut self) {
+        self.run(Duration::from_secs(3), 0.0);
+    }
+
+    fn submit(&mut self, kind: usize) {
+        self.last_caller += 1;
+        let (caller, it) = (self.last_caller, self.kinds[kind]);
+        let request = job(&format!("job-{caller}"), it.tasks, TASK_CPU_MILLIS, ms(it.run_ms));
+        let submission =
+            Submission { caller, route: route_of(&it), request, patience: Some(ms(12_000)) };
+        self.tallies[kind].arrived += 1;
+        self.open.insert(caller, (kind, self.now));
+        self.entry.submit(self.now, submission);
+        self.collect();
+    }
+
+    fn step_targets(&mut self) {
+        let is_heartbeat = self.now.as_millis().is_multiple_of(50);
+        for (index, target) in self.targets.iter_mut().enumerate() {
+            target.end_due(self.now);
+            if is_heartbeat || !target.reports.is_empty() {
+                let frame = target.frame(self.now, false);
+                self.entry.receive(self.now, &process(&target.name), index as u64 + 1, frame);
+            }
+        }
+    }
+
+    fn collect(&mut self) {
+        for (link, frame) in self.entry.frames(self.now) {
+            for order in frame.orders {
+                let run_ms = match &order.action {
+                    Action::Start(start) => self.run_ms_of(&start.task.job),
+                    Action::Stop { .. } => 0,
+                };
+                let target = &mut self.targets[link as usize - 1];
+                target.order(self.now, order.number, order.action, ms(run_ms));
+            }
+        }
+        for (caller, answer) in self.entry.take_answers() {
+            let Some((kind, since)) = self.open.remove(&caller) else { continue };
+            let took = self.now - since;
+            let objective = route_of(&self.kinds[kind]).objective(ms(self.kinds[kind].run_ms));
+            let tally = &mut self.tallies[kind];
+            match answer {
+                Answer::Completed if took <= objective => tally.in_time += 1,
+                Answer::Refused { .. } => {
+                    tally.refused += 1;
+                    tally.refused_late += u64::from(took > objective / 4);
+                }
+                _ => tally.other += 1,
+            }
+        }
+    }
+
+    fn run_ms_of(&self, job: &str) -> u64 {
+        let caller = job.trim_start_matches("job-").parse().unwrap_or_default();
+        self.open.get(&caller).map_or(50, |(kind, _)| self.kinds[*kind].run_ms)
+    }
+
+    fn tally(&self, kind: Kind) -> Tally {
+        let index = self.kinds.iter().position(|it| it.name == kind.name);
+        self.tallies[index.expect("the kind is part of the load")]
+    }
+}
+
+fn route_of(kind: &Kind) -> Route {
+    Route { priority: kind.priority, ..route(kind.name) }
+}
+
+const ALL: [Kind; 3] = [PRICE_CHECK, AVAILABILITY, PHOTO];
+
+#[test]
+fn usual_load_is_served_in_time() {
+    let mut site = Site::new(12, &ALL);
+    site.run(Duration::from_secs(10), 1.0);
+    site.drain();
+    for kind in ALL {
+        let tally = site.tally(kind);
+        assert!(tally.in_time_share() > 0.95, "{}: {tally:?}", kind.name);
+    }
+}
+
+#[test]
+fn overload_starves_no_kind() {
+    let mut site = Site::new(12, &ALL);
+    site.run(Duration::from_secs(2), 1.0);
+    site.run(Duration::from_secs(8), 1.9);
+    site.drain();
+    for kind in ALL {
+        let tally = site.tally(kind);
+        assert!(tally.in_time_share() > 0.5, "{}: {tally:?}", kind.name);
+    }
+}
+
+#[test]
+fn short_urgent_jobs_are_not_the_first_to_be_refused_beside_long_work() {
+    let mut site = Site::new(12, &ALL);
+    site.run(Duration::from_secs(2), 1.0);
+    site.run(Duration::from_secs(8), 1.5);
+    site.drain();
+    let urgent = site.tally(PRICE_CHECK).in_time_share();
+    let common = site.tally(AVAILABILITY).in_time_share();
+    assert!(urgent >= common, "urgent {urgent}, common {common}");
+}
+
+#[test]
+fn refusals_under_overload_come_on_arrival() {
+    let mut site = Site::new(12, &ALL);
+    site.run(Duration::from_secs(10), 2.0);
+    site.drain();
+    let refused: u64 = ALL.iter().map(|kind| site.tally(*kind).refused).sum();
+    let late: u64 = ALL.iter().map(|kind| site.tally(*kind).refused_late).sum();
+    assert!(refused > 100, "{refused} refused");
+    assert!(late * 5 <= refused, "{late} of {refused} refusals came late");
+}
+
+#[test]
+fn a_target_that_fails_everything_costs_few_jobs() {
+    let mut site = Site::new(12, &ALL);
+    site.run(Duration::from_secs(1), 1.0);
+    site.targets[0].health = Health::Failing;
+    site.run(Duration::from_secs(4), 1.0);
+    site.drain();
+    let share = site.tallies.iter().map(|it| it.in_time).sum::<u64>() as f64
+        / site.tallies.iter().map(|it| it.arrived).sum::<u64>() as f64;
+    assert!(share > 0.9, "{share} in time");
+}
+
+#[test]
+fn tasks_at_a_target_that_stands_still_are_run_elsewhere() {
+    let mut site = Site::new(12, &ALL);
+    site.run(Duration::from_secs(1), 1.0);
+    site.targets[0].health = Health::Stuck;
+    site.run(Duration::from_millis(200), 1.0);
+    site.targets[0].health = Health::Sound;
+    site.run(Duration::from_secs(8), 1.0);
+    site.drain();
+    let open_at_target = site.targets[0].running.iter().filter(|run| run.0 == BootTime::MAX);
+    assert_eq!(open_at_target.count(), 0);
+    assert!(site.tallies.iter().all(|tally| tally.other <= 20), "{:?}", site.tallies);
+}
+
+#[test]
+fn an_entry_of_a_large_site_uses_a_bounded_number_of_targets() {
+    let mut site = Site::new(80, &ALL);
+    site.run(Duration::from_secs(3), 0.5);
+    site.drain();
+    let used = site.targets.iter().filter(|target| target.starts > 0).count();
+    assert!((12..=24).contains(&used), "{used} targets used");
+    assert!(site.tally(PRICE_CHECK).in_time_share() > 0.95);
+}
