--- a/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -5,7 +5,7 @@
 use crate::{
     clock::BootTime,
     frame::{Action, AgentFrame, EntryFrame, Offer, Order, Profile},
-    ids::{LinkId, OrderNumber, ReportNumber, TaskKey},
+    ids::{JobId, LinkId, OrderNumber, ReportNumber, TaskKey},
     size::Size,
     timing::Timing,
 };
@@ -156,6 +156,11 @@
         free
     }
 
+    /// Returns the number of our runs there of one step.
+    pub fn tasks_of(&self, job: &JobId, step: u32) -> u32 {
+        self.runs.keys().filter(|run| run.job == *job && run.step == step).count() as u32
+    }
+
     /// Adds an order to the next frame; returns its number.
     pub fn order(&mut self, action: Action) -> OrderNumber {
         self.last_order += 1;
--- a/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
@@ -1,6 +1,6 @@
 //! Calls of callers.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     clock::BootTime,
@@ -28,8 +28,8 @@
 pub struct Submission {
     /// Who waits for the answer.
     pub caller: CallerId,
-    /// Host that the request named.
-    pub route: Route,
+    /// Where the request's path leads.
+    pub route: Arc<Route>,
     /// The job.
     pub request: JobRequest,
     /// How long the caller waits; as long as it takes if not said.
@@ -54,7 +54,8 @@
             return;
         }
         if let Some(refusal) = self.obstacle(&submission.request) {
-            self.refuse(now, submission.caller, &job, refusal, Duration::ZERO);
+            let wait = self.lag;
+            self.refuse(now, submission.caller, &job, refusal, wait);
             return;
         }
         self.admit(now, submission);
@@ -101,6 +102,8 @@
         let tasks: u32 = request.steps.iter().map(|step| step.tasks).sum();
         if self.is_leaving {
             Some(Refusal::ShuttingDown)
+        } else if self.is_lagging() {
+            Some(Refusal::Overloaded)
         } else if request.unsupported.is_some() {
             Some(Refusal::Unsupported)
         } else if tasks == 0 || tasks > MOST_TASKS {
@@ -191,9 +194,7 @@
 
     /// Returns whether no other route of the same service goes first.
     pub(super) fn is_most_urgent(&self, route: &Route) -> bool {
-        let routes = self.table.iter().flat_map(|table| &table.routes);
-        let mut rivals = routes.filter(|other| other.service == route.service);
-        rivals.all(|other| other.priority >= route.priority)
+        self.table.as_ref().is_none_or(|table| table.is_most_urgent(route))
     }
 
     pub(super) fn refuse(
--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -1,6 +1,6 @@
 //! Placing tasks, and stopping runs that stand still.
 
-use std::time::Duration;
+use std::{ops::Bound, time::Duration};
 
 use crate::{
     clock::BootTime,
@@ -14,6 +14,8 @@
     placement::{self, Candidate},
 };
 
+/// Tasks that may find no room before the rest is taken to find none either: a smaller one may fit.
+const MOST_MISSES: usize = 3;
 /// Multiple of its expected time after which a run is taken as stuck: estimates are often off by
 /// two, and targets differ.
 const STUCK_FACTOR: f64 = 3.0;
@@ -21,28 +23,23 @@
 const STUCK_MARGIN: Duration = Duration::from_millis(100);
 
 impl Entry {
-    /// Places waiting tasks, the most urgent first, as long as there is room.
+    /// Places waiting tasks, the most urgent first, until several in a row find no room.
     pub(super) fn place_waiting(&mut self, now: BootTime) {
-        if self.waiting.is_empty() {
-            return;
-        }
-        let waiting: Vec<(BootTime, TaskKey)> = self.waiting.iter().cloned().collect();
-        for (latest_start, task) in waiting {
-            if !self.has_any_room(now) {
-                return;
-            }
-            if self.place(now, &task) {
-                self.waiting.remove(&(latest_start, task));
+        let mut after: Option<(BootTime, TaskKey)> = None;
+        let mut misses = 0;
+        while misses < MOST_MISSES {
+            let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+            let next = self.waiting.range((from, Bound::Unbounded)).next().cloned();
+            let Some(next) = next else { return };
+            if self.place(now, &next.1) {
+                self.waiting.remove(&next);
+            } else {
+                misses += 1;
             }
+            after = Some(next);
         }
     }
 
-    fn has_any_room(&self, now: BootTime) -> bool {
-        self.agents
-            .values()
-            .any(|agent| agent.is_open(now, &self.timing) && agent.offer.free.cpu_millis > 0)
-    }
-
     /// Places one task; returns whether it no longer waits.
     fn place(&mut self, now: BootTime, key: &TaskKey) -> bool {
         let Some(agent) = self.choose_agent(now, key) else {
@@ -75,11 +72,10 @@
             labels: &view.profile.labels,
             is_near: view.profile.zone == self.zone,
             slowness: view.slowness,
-            same_step: view
-                .runs
-                .keys()
-                .filter(|run| run.job == key.job && run.step == key.step)
-                .count() as u32,
+            same_step: match step.most_per_target {
+                Some(_) => view.tasks_of(&key.job, key.step),
+                None => 0,
+            },
         });
         let candidates: Vec<Candidate<'_>> = candidates.collect();
         let free: u64 = candidates.iter().map(|it| it.free.cpu_millis).sum();
--- a/crates/bulrushlatch_dispatch/src/entry/endings.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/endings.rs
@@ -149,6 +149,7 @@
     /// Answers a job's callers and stops what is left of it.
     pub(super) fn end_job(&mut self, now: BootTime, id: &JobId, answer: Answer) {
         let Some(job) = self.jobs.get(id) else { return };
+        let has_waiting = job.has_waiting();
         let mut placed = Vec::new();
         for key in job.keys() {
             if let Some(task) = job.task(&key)
@@ -160,7 +161,9 @@
         for (key, agent, order) in placed {
             self.order_stop(&key, &agent, order, false);
         }
-        self.waiting.retain(|(_, task)| task.job != *id);
+        if has_waiting {
+            self.waiting.retain(|(_, task)| task.job != *id);
+        }
         let Some(job) = self.jobs.remove(id) else { return };
         match answer {
             Answer::Completed => self.counters.completed += 1,
--- a/crates/bulrushlatch_dispatch/src/entry/job_state.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/job_state.rs
@@ -1,5 +1,7 @@
 //! A job that an entry is working on.
 
+use std::sync::Arc;
+
 use crate::{
     clock::BootTime,
     ids::{Attempt, CallerId, OrderNumber, ProcessId, TaskKey},
@@ -13,7 +15,7 @@
     /// What the caller asked for.
     pub request: JobRequest,
     /// The route as it was when the job arrived.
-    pub route: Route,
+    pub route: Arc<Route>,
     /// Who waits for the answer.
     pub callers: Vec<CallerId>,
     /// When it arrived.
@@ -86,6 +88,11 @@
         self.has_run || tasks.any(|task| matches!(task.phase, Phase::Placed { .. }))
     }
 
+    /// Returns whether a task of the job waits for room.
+    pub fn has_waiting(&self) -> bool {
+        self.steps.iter().flatten().any(|task| task.phase == Phase::Waiting)
+    }
+
     /// Makes the tasks wait whose step's dependencies are done; returns their keys.
     pub fn unblock(&mut self) -> Vec<TaskKey> {
         let is_done: Vec<bool> = self
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -44,6 +44,11 @@
     run_times::RunTimes,
 };
 
+/// Lateness of this process above which it takes no new jobs: agents count on a word from it every
+/// fourth of the contact limit.
+const LAG_LIMIT: Duration = Duration::from_millis(40);
+/// Weight of a new value in the average lateness.
+const LAG_WEIGHT: f64 = 0.3;
 /// Pause between choices of the agents in use, while none comes.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -99,6 +104,8 @@
     /// Entries that share the targets, this one included.
     entries: u32,
     is_leaving: bool,
+    /// Moving average of how late this process does what is due.
+    lag: Duration,
     last_event_at: BootTime,
     answers: Vec<(CallerId, Answer)>,
     counters: EntryCounters,
@@ -124,6 +131,7 @@
             demands: Demands::default(),
             entries: 1,
             is_leaving: false,
+            lag: Duration::ZERO,
             last_event_at: BootTime::ZERO,
             answers: Vec::new(),
             counters: EntryCounters::default(),
@@ -165,7 +173,7 @@
         tracing::info!(
             from = version,
             to = table.version,
-            routes = table.routes.len(),
+            routes = table.len(),
             "configuration in force"
         );
         self.table = Some(table);
@@ -177,10 +185,26 @@
         self.entries = entries.max(1);
     }
 
+    /// Notes how late this process does what is due, for want of processor time.
+    pub fn note_lag(&mut self, lag: Duration) {
+        let was_lagging = self.is_lagging();
+        self.lag = self.lag.mul_f64(1.0 - LAG_WEIGHT) + lag.mul_f64(LAG_WEIGHT);
+        let is_lagging = self.is_lagging();
+        if was_lagging != is_lagging {
+            let lag_ms = self.lag.as_millis() as u64;
+            tracing::info!(lag_ms, is_lagging, "own processor time");
+        }
+    }
+
+    /// Returns whether more jobs would only make those that are open late.
+    fn is_lagging(&self) -> bool {
+        self.lag > LAG_LIMIT
+    }
+
     /// Returns whether new callers should be sent here.
     pub fn is_ready(&self, now: BootTime) -> bool {
         let has_agent = self.agents.values().any(|agent| agent.is_open(now, &self.timing));
-        self.table.is_some() && has_agent && !self.is_leaving
+        self.table.is_some() && has_agent && !self.is_leaving && !self.is_lagging()
     }
 
     /// Refuses new jobs from now on.
--- a/crates/bulrushlatch_dispatch/tests/entry.rs
+++ b/crates/bulrushlatch_dispatch/tests/entry.rs
@@ -190,8 +190,7 @@
 #[test]
 fn configurations_only_go_forward() {
     let mut bench = one_agent();
-    let table =
-        |version| RoutingTable { version, routes: vec![route("quick")], max_body_bytes: None };
+    let table = |version| RoutingTable::new(version, vec![route("quick")], None);
     assert!(bench.entry.configure(table(5)));
     assert!(!bench.entry.configure(table(4)));
     assert!(!bench.entry.configure(table(5)));
--- a/crates/bulrushlatch_dispatch/tests/load.rs
+++ b/crates/bulrushlatch_dispatch/tests/load.rs
@@ -181,7 +181,7 @@
     fn new(targets: usize, kinds: &[Kind]) -> Self {
         let mut entry = Entry::new(timing(), "a".to_owned(), 3);
         let routes = kinds.iter().map(route_of).collect();
-        entry.configure(RoutingTable { version: 1, routes, max_body_bytes: None });
+        entry.configure(RoutingTable::new(1, routes, None));
         let mut targets: Vec<ModelTarget> = (0..targets).map(ModelTarget::new).collect();
         for (link, target) in targets.iter_mut().enumerate() {
             entry.link_up(BOOT, process(&target.name), link as u64 + 1);
@@ -228,8 +228,12 @@
         self.last_caller += 1;
         let (caller, it) = (self.last_caller, self.kinds[kind]);
         let request = job(&format!("job-{caller}"), it.tasks, TASK_CPU_MILLIS, ms(it.run_ms));
-        let submission =
-            Submission { caller, route: route_of(&it), request, patience: Some(ms(12_000)) };
+        let submission = Submission {
+            caller,
+            route: std::sync::Arc::new(route_of(&it)),
+            request,
+            patience: Some(ms(12_000)),
+        };
         self.tallies[kind].arrived += 1;
         self.open.insert(caller, (kind, self.now));
         self.entry.submit(self.now, submission);
@@ -332,6 +336,7 @@
     site.drain();
     let refused: u64 = ALL.iter().map(|kind| site.tally(*kind).refused).sum();
     let late: u64 = ALL.iter().map(|kind| site.tally(*kind).refused_late).sum();
+    println!("{late} of {refused} refusals came late");
     assert!(refused > 100, "{refused} refused");
     assert!(late * 5 <= refused, "{late} of {refused} refusals came late");
 }
--- a/crates/bulrushlatch_dispatch/tests/one_run/world.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world.rs
@@ -673,7 +673,7 @@
             }],
             unsupported: None,
         };
-        let route = routing_table().routes.remove(0);
+        let route = Arc::new(test_route());
         let submission = Submission { caller, route, request, patience: Some(left) };
         self.with_entry(entry, life, |core, now| core.submit(now, submission));
     }
@@ -948,7 +948,11 @@
 }
 
 fn routing_table() -> RoutingTable {
-    let route = Route {
+    RoutingTable::new(1, vec![test_route()], None)
+}
+
+fn test_route() -> Route {
+    Route {
         name: Arc::from("route"),
         host: "host".to_owned(),
         path_prefix: "/jobs/".to_owned(),
@@ -957,6 +961,5 @@
         max_failed_runs: 8,
         stretch: 8.0,
         target_latency: Duration::from_millis(1_000),
-    };
-    RoutingTable { version: 1, routes: vec![route], max_body_bytes: None }
+    }
 }
--- a/crates/bulrushlatch_dispatch/tests/support/mod.rs
+++ b/crates/bulrushlatch_dispatch/tests/support/mod.rs
@@ -148,11 +148,7 @@
 impl Bench {
     pub fn new(agents: Vec<FakeAgent>) -> Self {
         let mut entry = Entry::new(timing(), "a".to_owned(), 1);
-        entry.configure(RoutingTable {
-            version: 1,
-            routes: vec![route("quick"), route("slow")],
-            max_body_bytes: None,
-        });
+        entry.configure(RoutingTable::new(1, vec![route("quick"), route("slow")], None));
         for agent in &agents {
             entry.link_up(BOOT, agent.id.clone(), agent.link);
         }
@@ -199,8 +195,12 @@
     pub fn submit(&mut self, request: JobRequest, route_name: &str) -> CallerId {
         self.last_caller += 1;
         let caller = self.last_caller;
-        let submission =
-            Submission { caller, route: route(route_name), request, patience: Some(ms(12_000)) };
+        let submission = Submission {
+            caller,
+            route: std::sync::Arc::new(route(route_name)),
+            request,
+            patience: Some(ms(12_000)),
+        };
         self.entry.submit(self.now, submission);
         self.collect();
         caller
--- a/crates/bulrushlatch_node/src/entry/callers.rs
+++ b/crates/bulrushlatch_node/src/entry/callers.rs
@@ -1,6 +1,6 @@
 //! Calls of callers.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bulrushlatch_dispatch::{
     entry::Submission,
@@ -106,15 +106,15 @@
 
 impl<C: CallerInterface, S: SiteStore> EntryProcess<C, S> {
     /// Returns the route of a path, and the rest of the path; none without a configuration.
-    fn find_route(&self, host: &str, path: &str) -> Option<Option<(Route, String)>> {
+    fn find_route(&self, host: &str, path: &str) -> Option<Option<(Arc<Route>, String)>> {
         let core = self.core.borrow();
         let found = core.table()?.find(host, path);
-        Some(found.map(|(route, rest)| (route.clone(), rest.to_owned())))
+        Some(found.map(|(route, rest)| (Arc::clone(route), rest.to_owned())))
     }
 
     async fn submit(
         &self,
-        route: Route,
+        route: Arc<Route>,
         request: bulrushlatch_dispatch::job::JobRequest,
         patience: Option<Duration>,
     ) -> Answer {
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -165,7 +165,9 @@
     async fn tick_until(&self, token: &CancellationToken) {
         while !token.is_cancelled() {
             self.act(|core, now| core.tick(now));
+            let due = self.clock.now() + TICK_INTERVAL;
             tokio::time::sleep(TICK_INTERVAL).await;
+            self.act(|core, now| core.note_lag(now.saturating_sub(due)));
         }
     }
 
