--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -5,12 +5,12 @@
 use crate::{
     clock::BootTime,
     frame::{Action, StartOrder},
-    ids::{ProcessId, TaskKey},
+    ids::{OrderNumber, ProcessId, TaskKey},
 };
 
 use super::{
     Entry, admission,
-    job_state::Phase,
+    job_state::{JobState, Phase},
     placement::{self, Candidate},
 };
 
@@ -19,6 +19,8 @@
 /// Multiple of its expected time after which a run is taken as stuck: estimates are often off by
 /// two, and targets differ.
 const STUCK_FACTOR: f64 = 3.0;
+/// Runs of one task that are stopped for being stuck; the next one is let run.
+const MOST_STUCK_RUNS: u32 = 2;
 /// Added to it, for messages and short tasks.
 const STUCK_MARGIN: Duration = Duration::from_millis(100);
 
@@ -43,7 +45,7 @@
     /// Places one task; returns whether it no longer waits.
     fn place(&mut self, now: BootTime, key: &TaskKey) -> bool {
         let Some(agent) = self.choose_agent(now, key) else {
-            return self.jobs.get(&key.job).is_none();
+            return !self.jobs.contains_key(&key.job);
         };
         let Some(job) = self.jobs.get_mut(&key.job) else { return true };
         let Some(step) = job.request.steps.get(key.step as usize) else { return true };
@@ -105,15 +107,8 @@
         let mut stuck = Vec::new();
         for job in self.jobs.values() {
             for key in job.keys() {
-                let Some(task) = job.task(&key) else { continue };
-                let Phase::Placed { agent, order, since, is_stopping: false } = &task.phase else {
-                    continue;
-                };
-                let Some(step) = job.request.steps.get(key.step as usize) else { continue };
-                let expected = self.run_times.expected(&job.route.name, step.estimate);
-                let limit = expected.mul_f64(STUCK_FACTOR) + STUCK_MARGIN;
-                if now.saturating_sub(*since) > limit {
-                    stuck.push((key, agent.clone(), *order, limit));
+                if let Some((agent, order, limit)) = self.is_stuck(now, job, &key) {
+                    stuck.push((key, agent.clone(), order, limit));
                 }
             }
         }
@@ -124,11 +119,33 @@
         }
     }
 
+    /// Returns where a task stands still, if it does, and how long it was given.
+    fn is_stuck<'a>(
+        &self,
+        now: BootTime,
+        job: &'a JobState,
+        key: &TaskKey,
+    ) -> Option<(&'a ProcessId, OrderNumber, Duration)> {
+        let task = job.task(key)?;
+        let Phase::Placed { agent, order, since, is_stopping: false } = &task.phase else {
+            return None;
+        };
+        if task.stuck_runs >= MOST_STUCK_RUNS {
+            return None;
+        }
+        let step = job.request.steps.get(key.step as usize)?;
+        let expected = self.run_times.expected(&job.route.name, step.estimate).max(step.estimate);
+        // Each time it is more likely that the task itself is long.
+        let factor = STUCK_FACTOR * f64::from(1 << task.stuck_runs);
+        let limit = expected.mul_f64(factor) + STUCK_MARGIN;
+        (now.saturating_sub(*since) > limit).then_some((agent, *order, limit))
+    }
+
     pub(super) fn order_stop(
         &mut self,
         key: &TaskKey,
         agent: &ProcessId,
-        order: u64,
+        order: OrderNumber,
         is_stuck: bool,
     ) {
         if let Some(view) = self.agents.get_mut(agent) {
@@ -139,6 +156,7 @@
             && let Phase::Placed { is_stopping, .. } = &mut task.phase
         {
             *is_stopping = true;
+            task.stuck_runs += u32::from(is_stuck);
         }
     }
 }
--- a/crates/bulrushlatch_dispatch/src/entry/job_state.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/job_state.rs
@@ -39,6 +39,8 @@
     pub attempt: Attempt,
     /// Runs that failed.
     pub failed_runs: u32,
+    /// Runs that were stopped for taking too long.
+    pub stuck_runs: u32,
     /// Agents at which it should not be tried again.
     pub avoided: Vec<ProcessId>,
 }
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -212,6 +212,13 @@
         self.is_leaving = true;
     }
 
+    /// Gives up every open job, as the process stops: callers get an answer, not a broken connection.
+    pub fn end(&mut self, now: BootTime) {
+        for job in self.jobs.keys().cloned().collect::<Vec<_>>() {
+            self.give_up(now, &job);
+        }
+    }
+
     /// Returns the answers that are ready.
     pub fn take_answers(&mut self) -> Vec<(CallerId, Answer)> {
         std::mem::take(&mut self.answers)
@@ -309,9 +316,7 @@
             jobs = self.jobs.len(),
             "suspended: giving up open jobs"
         );
-        for job in self.jobs.keys().cloned().collect::<Vec<_>>() {
-            self.give_up(now, &job);
-        }
+        self.end(now);
     }
 
     /// Chooses the agents at which tasks are placed; one that still has runs stays in use.
--- a/crates/bulrushlatch_dispatch/tests/agent.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent.rs
@@ -60,7 +60,7 @@
         agent.announced(BOOT, announcement("target", 1));
         agent.link_up(BOOT, entry(), 1);
         let mut bench = Self { agent, now: BOOT, last_order: 0, frames: Vec::new() };
-        bench.look(Look::default());
+        bench.look(&Look::default());
         bench.say(Vec::new());
         bench
     }
@@ -83,10 +83,10 @@
         self.agent.receive(self.now, &entry(), 1, frame);
     }
 
-    fn look(&mut self, look: Look) {
+    fn look(&mut self, look: &Look) {
         let asked_at = self.now;
         self.now += ms(1);
-        self.agent.looked(self.now, asked_at, &"target".to_owned(), &look);
+        self.agent.looked(self.now, asked_at, &"target".to_owned(), look);
     }
 
     fn start(&mut self, index: u32, cpu_millis: u64) {
@@ -107,10 +107,10 @@
         starts.collect()
     }
 
-    fn started(&mut self, start: &BegunStart, reply: StartReply) {
+    fn started(&mut self, start: &BegunStart, reply: &StartReply) {
         self.now += ms(1);
-        let clock_ms = (reply != StartReply::NoAnswer).then_some(5_000);
-        self.agent.start_answered(self.now, start, clock_ms, &reply);
+        let clock_ms = (*reply != StartReply::NoAnswer).then_some(5_000);
+        self.agent.start_answered(self.now, start, clock_ms, reply);
     }
 
     fn stops(&mut self) -> Vec<bulrushlatch_dispatch::agent::StopOrder> {
@@ -154,11 +154,11 @@
     let mut bench = Bench::new();
     bench.start(0, 1_000);
     let starts = bench.begun();
-    bench.started(&starts[0], StartReply::Started);
+    bench.started(&starts[0], &StartReply::Started);
     assert!(bench.outcomes().is_empty());
-    bench.look(Look { ended: vec![ended(1, 0, 1, RunEnd::Done)], ..Look::default() });
+    bench.look(&Look { ended: vec![ended(1, 0, 1, RunEnd::Done)], ..Look::default() });
     assert_eq!(bench.outcomes(), [RunOutcome::Done]);
-    bench.look(Look { ended: vec![ended(1, 0, 1, RunEnd::Done)], ..Look::default() });
+    bench.look(&Look { ended: vec![ended(1, 0, 1, RunEnd::Done)], ..Look::default() });
     assert!(bench.outcomes().is_empty(), "an end counts once");
 }
 
@@ -176,14 +176,14 @@
     let mut bench = Bench::new();
     bench.start(0, 3_000);
     let starts = bench.begun();
-    bench.started(&starts[0], StartReply::Started);
+    bench.started(&starts[0], &StartReply::Started);
     bench.say(vec![Action::Stop { task: task(0), order: 1, is_stuck: false }]);
     let stops = bench.stops();
     assert_eq!(stops.len(), 1);
     bench.agent.stop_answered(bench.now, &stops[0], 5_000);
     bench.start(1, 2_000);
     assert_eq!(bench.outcomes(), [RunOutcome::NotStarted(Obstacle::NoRoom)]);
-    bench.look(Look { ended: vec![ended(1, 0, 1, RunEnd::Stopped)], ..Look::default() });
+    bench.look(&Look { ended: vec![ended(1, 0, 1, RunEnd::Stopped)], ..Look::default() });
     assert_eq!(bench.outcomes(), [RunOutcome::Stopped]);
     bench.start(2, 2_000);
     assert_eq!(bench.begun().len(), 1);
@@ -194,14 +194,14 @@
     let mut bench = Bench::new();
     bench.start(0, 1_000);
     let starts = bench.begun();
-    bench.started(&starts[0], StartReply::NoAnswer);
+    bench.started(&starts[0], &StartReply::NoAnswer);
     let stops = bench.stops();
     assert_eq!(stops.len(), 1);
-    bench.look(Look::default());
+    bench.look(&Look::default());
     assert!(bench.outcomes().is_empty(), "the order may still be carried out");
     bench.agent.stop_answered(bench.now, &stops[0], 5_000);
     bench.now += ms(1);
-    bench.look(Look::default());
+    bench.look(&Look::default());
     assert_eq!(bench.outcomes(), [RunOutcome::Stopped]);
 }
 
@@ -210,7 +210,7 @@
     let mut bench = Bench::new();
     bench.start(0, 1_000);
     let starts = bench.begun();
-    bench.started(&starts[0], StartReply::NoAnswer);
+    bench.started(&starts[0], &StartReply::NoAnswer);
     assert_eq!(bench.stops().len(), 1);
     bench.now += ms(100);
     bench.agent.tick(bench.now);
@@ -222,11 +222,11 @@
     let mut bench = Bench::new();
     bench.start(0, 1_000);
     let first = bench.begun();
-    bench.started(&first[0], StartReply::OldAttempt);
+    bench.started(&first[0], &StartReply::OldAttempt);
     let second = bench.begun();
     assert_eq!(second[0].attempt, 2);
-    bench.started(&second[0], StartReply::Started);
-    bench.look(Look { ended: vec![ended(1, 0, 2, RunEnd::Done)], ..Look::default() });
+    bench.started(&second[0], &StartReply::Started);
+    bench.look(&Look { ended: vec![ended(1, 0, 2, RunEnd::Done)], ..Look::default() });
     assert_eq!(bench.outcomes(), [RunOutcome::Done]);
 }
 
@@ -235,7 +235,7 @@
     let mut bench = Bench::new();
     bench.start(0, 1_000);
     let starts = bench.begun();
-    bench.started(&starts[0], StartReply::Started);
+    bench.started(&starts[0], &StartReply::Started);
     bench.now += timing().contact_limit + ms(5);
     bench.agent.tick(bench.now);
     assert_eq!(bench.stops().len(), 1);
@@ -246,7 +246,7 @@
     let mut bench = Bench::new();
     bench.start(0, 1_000);
     let starts = bench.begun();
-    bench.started(&starts[0], StartReply::Started);
+    bench.started(&starts[0], &StartReply::Started);
     bench.now += timing().contact_limit + ms(10);
     assert!(bench.agent.renewal(bench.now).is_some(), "the stop has some time to work");
     bench.now += timing().stop_grace;
@@ -258,7 +258,7 @@
     let mut bench = Bench::new();
     bench.start(0, 1_000);
     let starts = bench.begun();
-    bench.started(&starts[0], StartReply::Started);
+    bench.started(&starts[0], &StartReply::Started);
     bench.now += ms(600);
     assert_eq!(bench.agent.renewal(bench.now), None);
     assert_eq!(bench.stops().len(), 1);
@@ -269,7 +269,7 @@
     let mut bench = Bench::new();
     let old = bench.now;
     bench.now += timing().contact_limit + ms(50);
-    bench.look(Look::default());
+    bench.look(&Look::default());
     let start = StartOrder {
         task: task(0),
         attempt: 1,
@@ -293,7 +293,7 @@
 #[test]
 fn an_unknown_run_at_the_target_is_stopped() {
     let mut bench = Bench::new();
-    bench.look(Look { running: vec![running(9, 4)], ..Look::default() });
+    bench.look(&Look { running: vec![running(9, 4)], ..Look::default() });
     let stops = bench.stops();
     assert_eq!(stops.len(), 1);
     assert_eq!(stops[0].attempt, 4);
@@ -304,7 +304,7 @@
     let mut bench = Bench::new();
     bench.start(0, 1_000);
     let starts = bench.begun();
-    bench.started(&starts[0], StartReply::Started);
+    bench.started(&starts[0], &StartReply::Started);
     bench.agent.look_failed(bench.now, &"target".to_owned(), TargetFault::Absent);
     assert_eq!(bench.outcomes(), [RunOutcome::Lost]);
 }
@@ -314,7 +314,7 @@
     let mut bench = Bench::new();
     bench.start(0, 1_000);
     let starts = bench.begun();
-    bench.started(&starts[0], StartReply::Started);
+    bench.started(&starts[0], &StartReply::Started);
     let renewed_at = bench.now;
     bench.agent.renewal(bench.now);
     while bench.now < renewed_at + timing().longest_lease() {
@@ -342,13 +342,13 @@
     let mut bench = Bench::new();
     bench.start(0, 1_000);
     let starts = bench.begun();
-    bench.started(&starts[0], StartReply::Started);
+    bench.started(&starts[0], &StartReply::Started);
     let leaving = Announcement { is_leaving: true, ..announcement("target", 2) };
     bench.agent.announced(bench.now, leaving);
     bench.start(1, 1_000);
     assert_eq!(bench.outcomes(), [RunOutcome::NotStarted(Obstacle::Unavailable)]);
     assert!(bench.stops().is_empty());
-    bench.look(Look { ended: vec![ended(1, 0, 1, RunEnd::Done)], ..Look::default() });
+    bench.look(&Look { ended: vec![ended(1, 0, 1, RunEnd::Done)], ..Look::default() });
     assert_eq!(bench.outcomes(), [RunOutcome::Done]);
 }
 
@@ -358,14 +358,14 @@
     for index in 0..2 {
         bench.start(index, 1_000);
         let starts = bench.begun();
-        bench.started(&starts[0], StartReply::Started);
+        bench.started(&starts[0], &StartReply::Started);
         let end = ended(u64::from(index) + 1, index, 1, RunEnd::Failed);
-        bench.look(Look { ended: vec![end], ..Look::default() });
+        bench.look(&Look { ended: vec![end], ..Look::default() });
     }
     bench.outcomes();
     assert!(!bench.frames.last().expect("a frame was sent").offer.accepts);
     bench.now += ms(600);
-    bench.look(Look::default());
+    bench.look(&Look::default());
     bench.say(Vec::new());
     bench.outcomes();
     assert!(bench.frames.last().expect("a frame was sent").offer.accepts);
@@ -377,9 +377,9 @@
     for attempt in 1..=5 {
         bench.start(0, 1_000);
         let starts = bench.begun();
-        bench.started(&starts[0], StartReply::Started);
+        bench.started(&starts[0], &StartReply::Started);
         let end = ended(attempt, 0, 1, RunEnd::Failed);
-        bench.look(Look { ended: vec![end], ..Look::default() });
+        bench.look(&Look { ended: vec![end], ..Look::default() });
         bench.outcomes();
     }
     assert!(bench.frames.last().expect("a frame was sent").offer.accepts);
--- a/crates/bulrushlatch_dispatch/tests/entry.rs
+++ b/crates/bulrushlatch_dispatch/tests/entry.rs
@@ -220,3 +220,59 @@
     });
     assert!(stuck);
 }
+
+#[test]
+fn a_task_that_takes_long_everywhere_is_let_run_in_the_end() {
+    let mut bench = one_agent();
+    for id in 0..40 {
+        bench.submit(job(&format!("short-{id}"), 1, 100, ms(60)), "quick");
+        for start in bench.agents[0].take_starts() {
+            let done = bench.agents[0].report(&start, RunOutcome::Done, 2);
+            bench.hear(0, vec![done]);
+        }
+    }
+    let caller = bench.submit(job("long", 1, 1_000, ms(60)), "quick");
+    let mut stops = 0;
+    while bench.answer_to(caller).is_none() && bench.now < support::BOOT + ms(11_000) {
+        bench.advance(ms(100));
+        stops += bench.agents[0].stops();
+        let starts = bench.agents[0].take_starts();
+        for start in starts {
+            // The order to stop follows sooner or later; the task itself takes three seconds.
+            bench.advance(ms(3_000));
+            let is_stopped = bench.agents[0].stops() > 0;
+            stops += usize::from(is_stopped);
+            bench.agents[0].orders.clear();
+            let outcome = if is_stopped { RunOutcome::Stopped } else { RunOutcome::Done };
+            let end = bench.agents[0].report(&start, outcome, 3_000);
+            bench.hear(0, vec![end]);
+        }
+    }
+    assert_eq!(bench.answer_to(caller), Some(Answer::Completed), "{stops} stops");
+    assert!(stops <= 2, "{stops} stops");
+}
+
+#[test]
+fn an_honest_estimate_is_believed_although_other_jobs_were_short() {
+    let mut bench = one_agent();
+    for id in 0..40 {
+        bench.submit(job(&format!("short-{id}"), 1, 100, ms(60)), "quick");
+        for start in bench.agents[0].take_starts() {
+            let done = bench.agents[0].report(&start, RunOutcome::Done, 2);
+            bench.hear(0, vec![done]);
+        }
+    }
+    bench.submit(job("long", 1, 1_000, ms(700)), "quick");
+    bench.advance(ms(1_400));
+    assert_eq!(bench.agents[0].stops(), 0);
+}
+
+#[test]
+fn an_entry_that_stops_answers_every_open_caller() {
+    let mut bench = one_agent();
+    let begun = bench.submit(job("begun", 1, 1_000, ms(600)), "slow");
+    bench.entry.end(bench.now);
+    bench.collect();
+    assert_eq!(bench.answer_to(begun), Some(Answer::Interrupted));
+    assert_eq!(bench.entry.open_jobs(), 0);
+}
--- a/crates/bulrushlatch_dispatch/tests/load.rs
+++ b/crates/bulrushlatch_dispatch/tests/load.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use bulrushlatch_dispatch::{
     clock::BootTime,
@@ -230,7 +230,7 @@
         let request = job(&format!("job-{caller}"), it.tasks, TASK_CPU_MILLIS, ms(it.run_ms));
         let submission = Submission {
             caller,
-            route: std::sync::Arc::new(route_of(&it)),
+            route: Arc::new(route_of(&it)),
             request,
             patience: Some(ms(12_000)),
         };
--- a/crates/bulrushlatch_dispatch/tests/one_run/world.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world.rs
@@ -821,7 +821,7 @@
                 let is_open = self.links.iter().any(|it| it.id == link && it.is_up);
                 if is_open {
                     self.with_agent(agent, life, |core, now| {
-                        core.receive(now, &entry, link, frame)
+                        core.receive(now, &entry, link, frame);
                     });
                 }
             }
--- a/crates/bulrushlatch_dispatch/tests/support/mod.rs
+++ b/crates/bulrushlatch_dispatch/tests/support/mod.rs
@@ -197,7 +197,7 @@
         let caller = self.last_caller;
         let submission = Submission {
             caller,
-            route: std::sync::Arc::new(route(route_name)),
+            route: Arc::new(route(route_name)),
             request,
             patience: Some(ms(12_000)),
         };
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -198,6 +198,7 @@
             tokio::time::sleep(TICK_INTERVAL).await;
         }
         let open_jobs = self.core.borrow().open_jobs();
+        self.act(|core, now| core.end(now));
         // Answers that were just given are still being written.
         tokio::time::sleep(LAST_MOMENT / 4).await;
         tracing::info!(open_jobs, "entry stopped");
