--- a/crates/bulrushlatch_node/src/logs.rs
+++ b/crates/bulrushlatch_node/src/logs.rs
@@ -29,7 +29,8 @@
     let counter = Arc::clone(&left_out);
     thread::spawn(move || write_lines(&queue, &counter));
     let writer = LineWriter { lines, left_out };
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer);
+    let builder = tracing_subscriber::fmt().with_env_filter(filter);
+    let builder = builder.with_target(false).with_writer(writer);
     // A second call in one process keeps the first subscriber.
     let _ = match format {
         LogFormat::Text => builder.with_ansi(false).try_init(),
