--- a/crates/bulrushlatch_dispatch/src/frame.rs
+++ b/crates/bulrushlatch_dispatch/src/frame.rs
@@ -147,7 +147,11 @@
 /// What entries tell each other.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PeerFrame {
-    /// A configuration record as it stands in the store, if it is newer than what was sent before.
+    /// Version of the sender's configuration, if it has one.
+    pub version: Option<u64>,
+    /// Whether the receiver is to send its configuration.
+    pub wants_configuration: bool,
+    /// A configuration record as it stands in the store, for an entry that asked for it.
     pub configuration: Option<String>,
     /// Jobs that were cancelled at the sender, which does not know them.
     pub cancelled: Vec<JobId>,
--- a/crates/bulrushlatch_node/src/entry/links.rs
+++ b/crates/bulrushlatch_node/src/entry/links.rs
@@ -26,7 +26,7 @@
 /// Pause after a failed accept, such as when file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between two frames on a link to another entry, which shows that it still works.
-const PEER_HEARTBEAT: Duration = Duration::from_millis(500);
+const PEER_HEARTBEAT: Duration = Duration::from_millis(300);
 /// Time without a frame after which a link to another entry is replaced.
 const PEER_SILENCE: Duration = Duration::from_millis(1500);
 
@@ -154,7 +154,7 @@
                 frame = receiver.receive() => {
                     received_at = self.clock.now();
                     match frame {
-                        Some(Frame::Peer(frame)) => self.receive_from_peer(frame),
+                        Some(Frame::Peer(frame)) => self.receive_from_peer(link, frame),
                         Some(Frame::Entries(entries)) => self.hear_of_entries(entries),
                         Some(_) => {}
                         None => break,
@@ -164,7 +164,7 @@
                     if self.clock.now().saturating_sub(received_at) > PEER_SILENCE {
                         break;
                     }
-                    self.send(link, Frame::Peer(PeerFrame::default()));
+                    self.send(link, Frame::Peer(self.peer_frame()));
                 }
             }
         }
@@ -182,9 +182,7 @@
     }
 
     fn greet_peer(&self, link: LinkId) {
-        let configuration = self.configuration.borrow().as_ref().map(text_of);
-        let frame = PeerFrame { configuration, ..PeerFrame::default() };
-        self.send(link, Frame::Peer(frame));
+        self.send(link, Frame::Peer(self.peer_frame()));
         self.send(link, Frame::Entries(self.known_entries()));
     }
 
@@ -199,7 +197,21 @@
         }
     }
 
-    fn receive_from_peer(&self, frame: PeerFrame) {
+    fn peer_frame(&self) -> PeerFrame {
+        PeerFrame { version: self.core.borrow().version(), ..PeerFrame::default() }
+    }
+
+    fn receive_from_peer(&self, link: LinkId, frame: PeerFrame) {
+        let own = self.core.borrow().version();
+        if self.hand_over.borrow_mut().heard(self.clock.now(), own, frame.version) {
+            tracing::info!(own, theirs = frame.version, link, "asking for a configuration");
+            let wants = PeerFrame { wants_configuration: true, ..self.peer_frame() };
+            self.send(link, Frame::Peer(wants));
+        }
+        if frame.wants_configuration {
+            let configuration = self.configuration.borrow().as_ref().map(text_of);
+            self.send(link, Frame::Peer(PeerFrame { configuration, ..self.peer_frame() }));
+        }
         if let Some(text) = frame.configuration {
             let record =
                 KeyedRecord { key: self.store.routes_key().to_owned(), value: text.into_bytes() };
@@ -210,15 +222,14 @@
         }
     }
 
-    /// Hands the newest configuration to all other entries.
-    pub(super) fn tell_peers_configuration(&self) {
-        let configuration = self.configuration.borrow().as_ref().map(text_of);
-        self.tell_peers(&PeerFrame { configuration, ..PeerFrame::default() });
+    /// Tells all other entries which configuration is in force here.
+    pub(super) fn tell_peers_version(&self) {
+        self.tell_peers(&self.peer_frame());
     }
 
     /// Tells all other entries of a cancelled job that is not known here.
     pub(super) fn tell_peers_cancelled(&self, job: &JobId) {
-        self.tell_peers(&PeerFrame { cancelled: vec![job.clone()], ..PeerFrame::default() });
+        self.tell_peers(&PeerFrame { cancelled: vec![job.clone()], ..self.peer_frame() });
     }
 
     fn tell_peers(&self, frame: &PeerFrame) {
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -21,6 +21,7 @@
     clock::{BootClock, BootTime},
     directory::Directory,
     entry::Entry,
+    hand_over::HandOver,
     ids::{CallerId, LinkId, ProcessId},
     outcome::Answer,
     routing::RoutingTable,
@@ -62,6 +63,7 @@
     waiting: RefCell<BTreeMap<CallerId, oneshot::Sender<Answer>>>,
     directory: RefCell<Directory>,
     configuration: RefCell<Option<KeyedRecord>>,
+    hand_over: RefCell<HandOver>,
     last_id: Cell<u64>,
     is_closing: Cell<bool>,
     latency: Histogram,
@@ -120,6 +122,7 @@
             waiting: RefCell::default(),
             directory: RefCell::new(Directory::new(common.seeds.iter().copied())),
             configuration: RefCell::default(),
+            hand_over: RefCell::default(),
             last_id: Cell::new(0),
             is_closing: Cell::new(false),
             latency: metrics::latency_histogram(),
@@ -208,7 +211,8 @@
         let is_newer = self.act(|core, _| core.configure(table));
         if is_newer {
             *self.configuration.borrow_mut() = Some(record);
-            self.tell_peers_configuration();
+            self.hand_over.borrow_mut().caught_up();
+            self.tell_peers_version();
         }
     }
 
