--- a/crates/bulrushlatch_dispatch/src/agent/ledger.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/ledger.rs
@@ -79,6 +79,8 @@
         match reply {
             StartReply::Started => {
                 run.started_at = Some(now);
+                let (attempt, entry) = (run.attempt, &run.owner);
+                tracing::info!(%task, attempt, %entry, "run started");
             }
             StartReply::OldAttempt if run.attempt < MOST_ATTEMPTS && !run.is_stopping() => {
                 run.attempt += ATTEMPT_STEP;
@@ -257,10 +259,11 @@
             !run.is_stopping() && now.saturating_sub(heard_at) > limit
         });
         for task in orphans.map(|run| run.task.clone()).collect::<Vec<_>>() {
-            let owner = self.runs.get(&task).map(|run| run.owner.clone());
-            let heard_at = owner.as_ref().and_then(|owner| self.contacts.get(owner));
-            let silent_ms = heard_at.map(|it| now.saturating_sub(it.heard_at).as_millis() as u64);
-            tracing::info!(%task, ?owner, silent_ms, "entry silent: stopping its run");
+            if let Some(run) = self.runs.get(&task) {
+                let heard_at = self.contacts.get(&run.owner).map(|contact| contact.heard_at);
+                let silent_ms = heard_at.map(|at| now.saturating_sub(at).as_millis() as u64);
+                tracing::info!(%task, entry = %run.owner, silent_ms, "entry silent: stopping its run");
+            }
             self.counters.orphaned += 1;
             self.want_stop(now, &task);
         }
--- a/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
@@ -128,14 +128,9 @@
             self.refuse(now, caller, &job, Refusal::NoTarget, Duration::ZERO);
             return;
         };
-        if let Admission::Refuse { wait } = admission::decide(&demand, &supply) {
-            tracing::info!(
-                %job, route = %route.name, cpu_millis = demand.cpu_millis,
-                patience_ms = demand.patience.as_millis() as u64,
-                free_cpu_millis = supply.free_cpu_millis, queued_cpu_millis = supply.queued_cpu_millis,
-                released_cpu_millis_per_s = supply.released_cpu_millis_per_s as u64,
-                wait_ms = wait.as_millis() as u64, "refused on arrival"
-            );
+        let admission = admission::decide(&demand, &supply);
+        self.log_admission(&job, &route, &demand, &supply, admission);
+        if let Admission::Refuse { wait } = admission {
             self.refuse(now, caller, &job, Refusal::Overloaded, wait);
             return;
         }
@@ -160,6 +155,33 @@
         self.place_waiting(now);
     }
 
+    /// Says what decided on a job; the inputs are as old as the last frames of the agents in use.
+    fn log_admission(
+        &self,
+        job: &JobId,
+        route: &Route,
+        demand: &Demand,
+        supply: &Supply,
+        admission: Admission,
+    ) {
+        let (decision, wait) = match admission {
+            Admission::Take { wait } => ("taken", wait),
+            Admission::Refuse { wait } => ("refused on arrival", wait),
+        };
+        tracing::info!(
+            %job,
+            route = %route.name,
+            version = self.version(),
+            cpu_millis = demand.cpu_millis,
+            patience_ms = demand.patience.as_millis() as u64,
+            free_cpu_millis = supply.free_cpu_millis,
+            queued_cpu_millis = supply.queued_cpu_millis,
+            released_cpu_millis_per_s = supply.released_cpu_millis_per_s as u64,
+            wait_ms = wait.as_millis() as u64,
+            "{decision}"
+        );
+    }
+
     /// Returns the run time to expect of a job's longest chain.
     pub(super) fn expected_work(&self, route: &Route, request: &JobRequest) -> Duration {
         self.run_times.expected(&route.name, request.longest_chain())
