--- a/crates/bulrushlatch_node/src/agent/mod.rs
+++ b/crates/bulrushlatch_node/src/agent/mod.rs
@@ -43,7 +43,7 @@
 /// Shortest pause between two frames to one entry that carry no report.
 const NEWS_PAUSE: Duration = Duration::from_millis(8);
 /// Kept free at the end of the grace.
-const LAST_MOMENT: Duration = Duration::from_millis(300);
+const LAST_MOMENT: Duration = Duration::from_millis(600);
 /// Time for which an idle leaving agent still tells its entries that it takes nothing.
 const LINGER: Duration = Duration::from_millis(100);
 
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -48,7 +48,7 @@
 /// seconds to send connections elsewhere.
 const SERVING_SHARE: f64 = 0.5;
 /// Kept free at the end of the grace, to write the last answers.
-const LAST_MOMENT: Duration = Duration::from_millis(400);
+const LAST_MOMENT: Duration = Duration::from_millis(800);
 
 /// A running entry.
 pub struct EntryProcess<C, S> {
