--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -333,7 +333,10 @@
             Trust::Probation => self.runs.is_empty(),
             Trust::Suspended => false,
         };
-        is_present && is_trusted && !self.is_leaving && !target.announcement.is_leaving
+        // Runs of an earlier process take room that this one does not know.
+        let is_known = target.strangers.is_empty();
+        let is_staying = !self.is_leaving && !target.announcement.is_leaving;
+        is_present && is_trusted && is_known && is_staying
     }
 
     /// Returns the end of the lease to ask for, unless an overdue stop has not been confirmed.
--- a/crates/bulrushlatch_dispatch/tests/agent.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent.rs
@@ -384,3 +384,14 @@
     }
     assert!(bench.frames.last().expect("a frame was sent").offer.accepts);
 }
+
+#[test]
+fn nothing_is_started_beside_runs_of_unknown_size() {
+    let mut bench = Bench::new();
+    bench.look(&Look { running: vec![running(9, 4)], ..Look::default() });
+    bench.start(0, 1_000);
+    assert_eq!(bench.outcomes(), [RunOutcome::NotStarted(Obstacle::Unavailable)]);
+    bench.look(&Look::default());
+    bench.start(1, 1_000);
+    assert_eq!(bench.begun().len(), 1);
+}
--- a/crates/bulrushlatch_node/src/agent/mod.rs
+++ b/crates/bulrushlatch_node/src/agent/mod.rs
@@ -33,7 +33,7 @@
     http_server::{self, ServerHandler, ServerRequest, text_response},
     interface::{AnnouncementInterface, BodyResponse, LeasedTarget, SiteStore, TargetNews},
     link::{Frame, LinkSender},
-    metrics::{self, MetricsHandler, MetricsSource},
+    metrics::{self, MetricsSource},
     settings::AgentSettings,
     signals::watch_signals,
 };
@@ -104,7 +104,7 @@
         tokio::task::spawn_local(Rc::clone(&process).read_entries());
         tokio::task::spawn_local(Rc::clone(&process).look_at_target());
         tokio::task::spawn_local(Rc::clone(&process).send_news());
-        process.serve_metrics().await;
+        metrics::serve(&process, process.settings.common.metrics_listen).await;
         while !token.is_cancelled() {
             process.act(|core, now| core.tick(now));
             process.drop_silent_links();
@@ -176,17 +176,6 @@
         let is_idle = self.core.borrow().is_idle();
         tracing::info!(is_idle, "agent stopped");
     }
-
-    async fn serve_metrics(self: &Rc<Self>) {
-        let Some(address) = self.settings.common.metrics_listen else { return };
-        match http_server::listen(address).await {
-            Ok(listener) => {
-                let handler = Rc::new(MetricsHandler(Rc::clone(self)));
-                tokio::task::spawn_local(http_server::serve(listener, handler));
-            }
-            Err(error) => tracing::warn!(%address, %error, "metrics are not served"),
-        }
-    }
 }
 
 /// Takes announcements of the target.
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -37,7 +37,7 @@
     http_server,
     interface::{CallerInterface, KeyedRecord, SiteStore, Stream},
     link::{Frame, LinkSender},
-    metrics::{self, MetricsHandler, MetricsSource},
+    metrics::{self, MetricsSource},
     settings::EntrySettings,
     signals::watch_signals,
 };
@@ -101,7 +101,7 @@
         tokio::task::spawn_local(Rc::clone(&process).keep_peer_links());
         tokio::task::spawn_local(Rc::clone(&process).watch_configuration());
         tokio::task::spawn_local(Rc::clone(&process).watch_entries());
-        process.serve_metrics().await;
+        metrics::serve(&process, process.settings.common.metrics_listen).await;
         process.tick_until(&token).await;
         process.shut_down().await;
         Ok(())
@@ -215,17 +215,6 @@
             self.tell_peers_version();
         }
     }
-
-    async fn serve_metrics(self: &Rc<Self>) {
-        let Some(address) = self.settings.common.metrics_listen else { return };
-        match http_server::listen(address).await {
-            Ok(listener) => {
-                let handler = Rc::new(MetricsHandler(Rc::clone(self)));
-                tokio::task::spawn_local(http_server::serve(listener, handler));
-            }
-            Err(error) => tracing::warn!(%address, %error, "metrics are not served"),
-        }
-    }
 }
 
 impl<C: CallerInterface, S: SiteStore> MetricsSource for EntryProcess<C, S> {
--- a/crates/bulrushlatch_node/src/metrics.rs
+++ b/crates/bulrushlatch_node/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and histograms in the text form of Prometheus.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bulrushlatch_runtime::telemetry::metrics_text;
 use hyper::StatusCode;
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    http_server::{ServerHandler, ServerRequest, text_response},
+    http_server::{self, ServerHandler, ServerRequest, text_response},
     interface::BodyResponse,
 };
 
@@ -60,3 +60,16 @@
         }
     }
 }
+
+/// Serves the metrics of a process, if it has an address for them. A process whose metrics cannot be
+/// served does its work all the same.
+pub async fn serve<M: MetricsSource>(source: &Rc<M>, address: Option<SocketAddr>) {
+    let Some(address) = address else { return };
+    match http_server::listen(address).await {
+        Ok(listener) => {
+            let handler = Rc::new(MetricsHandler(Rc::clone(source)));
+            tokio::task::spawn_local(http_server::serve(listener, handler));
+        }
+        Err(error) => tracing::warn!(%address, %error, "metrics are not served"),
+    }
+}
