--- a/crates/bulrushlatch_node/src/agent/links.rs
+++ b/crates/bulrushlatch_node/src/agent/links.rs
@@ -1,83 +1,44 @@
 //! Links to entries.
 
-use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bulrushlatch_dispatch::{
-    clock::BootClock,
+    clock::{BootClock, BootTime},
     frame::{FRAME_VERSION, Hello, Role},
 };
 
 use super::AgentProcess;
 use crate::{
     interface::{AnnouncementInterface, LeasedTarget, SiteStore, Stream},
-    link::{self, Frame, LinkReceiver, LinkSender},
+    link::{Frame, LinkReceiver, LinkSender},
+    link_keeper::{LinkKeeper, LinkOwner},
 };
 
-/// Time in which an entry must say who it is.
-const GREETING_PATIENCE: Duration = Duration::from_millis(500);
-/// Pause before a link is opened again: the contact must not lapse meanwhile.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
-/// Longest pause, for addresses at which nobody listens.
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
-/// Pause between looks at which links are missing.
-const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause between reads of the entries' addresses in the store: entries tell of changes, too.
 const ENTRIES_INTERVAL: Duration = Duration::from_secs(10);
 /// The same after a failed read, or while no entry is linked.
 const URGENT_INTERVAL: Duration = Duration::from_secs(1);
 
-impl<T: LeasedTarget, A: AnnouncementInterface, S: SiteStore> AgentProcess<T, A, S> {
-    /// Keeps links to all entries.
-    pub(super) async fn keep_links(self: Rc<Self>) {
-        let mut dialled: BTreeSet<SocketAddr> = BTreeSet::new();
-        loop {
-            let now = self.clock.now();
-            self.directory.borrow_mut().forget_old(now);
-            let addresses = self.directory.borrow().addresses();
-            for address in addresses {
-                if dialled.insert(address) {
-                    tokio::task::spawn_local(Rc::clone(&self).keep_link(address));
-                }
-            }
-            tokio::time::sleep(LINK_CHECK_INTERVAL).await;
-        }
+impl<T: LeasedTarget, A: AnnouncementInterface, S: SiteStore> LinkOwner for AgentProcess<T, A, S> {
+    fn keeper(&self) -> &LinkKeeper {
+        &self.keeper
     }
 
-    async fn keep_link(self: Rc<Self>, address: SocketAddr) {
-        let mut pause = RECONNECT_PAUSE;
-        loop {
-            if let Ok((sender, mut receiver)) = link::connect(address).await {
-                let process = self.process.clone();
-                sender.send(Frame::Hello(Hello {
-                    version: FRAME_VERSION,
-                    process,
-                    role: Role::Agent,
-                    address: None,
-                }));
-                if let Some(hello) = receiver.greeting(GREETING_PATIENCE).await {
-                    pause = RECONNECT_PAUSE;
-                    self.serve_entry(address, hello, sender, receiver).await;
-                }
-            }
-            let jitter = 0.5 + fastrand::f64();
-            tokio::time::sleep(pause.mul_f64(jitter)).await;
-            pause = (pause * 2).min(LONGEST_PAUSE);
-        }
+    fn now(&self) -> BootTime {
+        self.clock.now()
+    }
+
+    fn hello(&self) -> Hello {
+        let process = self.process.clone();
+        Hello { version: FRAME_VERSION, process, role: Role::Agent, address: None }
     }
 
-    async fn serve_entry(
-        self: &Rc<Self>,
-        address: SocketAddr,
-        hello: Hello,
-        sender: LinkSender,
-        mut receiver: LinkReceiver,
-    ) {
+    async fn serve(self: Rc<Self>, peer: Hello, sender: LinkSender, mut receiver: LinkReceiver) {
         let link = self.last_link.get() + 1;
         self.last_link.set(link);
-        let entry = hello.process;
+        let entry = peer.process;
         tracing::info!(%entry, link, "entry linked");
         self.links.borrow_mut().insert(link, sender);
-        self.directory.borrow_mut().note(address, self.clock.now());
         self.act(|core, now| core.link_up(now, entry.clone(), link));
         while let Some(frame) = receiver.receive().await {
             // A link that was given up must not bring orders any more.
@@ -96,11 +57,13 @@
         self.act(|core, _| core.link_down(&entry, link));
         tracing::info!(%entry, link, "entry's link closed");
     }
+}
 
+impl<T: LeasedTarget, A: AnnouncementInterface, S: SiteStore> AgentProcess<T, A, S> {
     fn hear_of_entries(&self, entries: &[SocketAddr]) {
         let now = self.clock.now();
         for address in entries {
-            self.directory.borrow_mut().hear(*address, now);
+            self.keeper.hear(*address, now);
         }
     }
 
@@ -124,7 +87,7 @@
                     for record in page.records {
                         if let (Ok(address), false) = (record.key.parse(), record.value.is_empty())
                         {
-                            self.directory.borrow_mut().note(address, now);
+                            self.keeper.note(address, now);
                         }
                     }
                 }
--- a/crates/bulrushlatch_node/src/agent/mod.rs
+++ b/crates/bulrushlatch_node/src/agent/mod.rs
@@ -18,7 +18,6 @@
 use bulrushlatch_dispatch::{
     agent::{Agent, TargetOrder},
     clock::{BootClock, BootTime},
-    directory::Directory,
     ids::{LinkId, ProcessId},
 };
 use bulrushlatch_runtime::start_error::StartError;
@@ -33,6 +32,7 @@
     http_server::{self, ServerHandler, ServerRequest, text_response},
     interface::{AnnouncementInterface, BodyResponse, LeasedTarget, SiteStore, TargetNews},
     link::{Frame, LinkSender},
+    link_keeper::{LinkKeeper, keep_links},
     metrics::{self, MetricsSource},
     settings::AgentSettings,
     signals::watch_signals,
@@ -57,7 +57,7 @@
     store: S,
     core: RefCell<Agent>,
     links: RefCell<BTreeMap<LinkId, LinkSender>>,
-    directory: RefCell<Directory>,
+    keeper: LinkKeeper,
     last_link: Cell<LinkId>,
     /// Wakes the sender of news.
     news: Notify,
@@ -91,7 +91,7 @@
             store,
             core: RefCell::new(Agent::new(common.timing)),
             links: RefCell::default(),
-            directory: RefCell::new(Directory::new(common.seeds.iter().copied())),
+            keeper: LinkKeeper::new(&common.seeds, None),
             last_link: Cell::new(0),
             news: Notify::new(),
             target_found: Notify::new(),
@@ -100,7 +100,7 @@
         tracing::info!(process = %process.process, zone = %process.settings.common.zone, "agent started");
         let handler = Rc::new(AnnouncementHandler { process: Rc::clone(&process) });
         tokio::task::spawn_local(http_server::serve(listener, handler));
-        tokio::task::spawn_local(Rc::clone(&process).keep_links());
+        tokio::task::spawn_local(keep_links(Rc::clone(&process)));
         tokio::task::spawn_local(Rc::clone(&process).read_entries());
         tokio::task::spawn_local(Rc::clone(&process).look_at_target());
         tokio::task::spawn_local(Rc::clone(&process).send_news());
--- a/crates/bulrushlatch_node/src/entry/links.rs
+++ b/crates/bulrushlatch_node/src/entry/links.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use bulrushlatch_dispatch::{
-    clock::BootClock,
+    clock::{BootClock, BootTime},
     frame::{FRAME_VERSION, Hello, PeerFrame, Role},
     ids::{JobId, LinkId, ProcessId},
 };
@@ -13,16 +13,11 @@
 use crate::{
     interface::{CallerInterface, KeyedRecord, SiteStore},
     link::{self, Frame, LinkReceiver, LinkSender},
+    link_keeper::{LinkKeeper, LinkOwner},
 };
 
 /// Time in which the other side must say who it is.
 const GREETING_PATIENCE: Duration = Duration::from_secs(1);
-/// Pause before a link to another entry is opened again.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
-/// Longest pause, for addresses at which nobody listens.
-const LONGEST_PAUSE: Duration = Duration::from_secs(2);
-/// Pause between looks at which links are missing.
-const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause after a failed accept, such as when file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between two frames on a link to another entry, which shows that it still works.
@@ -30,16 +25,33 @@
 /// Time without a frame after which a link to another entry is replaced.
 const PEER_SILENCE: Duration = Duration::from_millis(1500);
 
-impl<C: CallerInterface, S: SiteStore> EntryProcess<C, S> {
-    fn hello(&self) -> Frame {
-        Frame::Hello(Hello {
+impl<C: CallerInterface, S: SiteStore> LinkOwner for EntryProcess<C, S> {
+    fn keeper(&self) -> &LinkKeeper {
+        &self.keeper
+    }
+
+    fn now(&self) -> BootTime {
+        self.clock.now()
+    }
+
+    fn hello(&self) -> Hello {
+        Hello {
             version: FRAME_VERSION,
             process: self.process.clone(),
             role: Role::Entry,
             address: Some(self.settings.link_listen),
-        })
+        }
     }
 
+    async fn serve(self: Rc<Self>, peer: Hello, sender: LinkSender, receiver: LinkReceiver) {
+        if let Some(address) = peer.address {
+            self.note_entry(address);
+        }
+        self.serve_peer(peer.process, sender, receiver).await;
+    }
+}
+
+impl<C: CallerInterface, S: SiteStore> EntryProcess<C, S> {
     /// Takes links of agents and other entries.
     pub(super) async fn accept_links(self: Rc<Self>, listener: TcpListener) {
         loop {
@@ -53,7 +65,7 @@
     }
 
     async fn greet(self: Rc<Self>, sender: LinkSender, mut receiver: LinkReceiver) {
-        sender.send(self.hello());
+        sender.send(Frame::Hello(self.hello()));
         let Some(hello) = receiver.greeting(GREETING_PATIENCE).await else { return };
         match (hello.role, hello.address) {
             (Role::Agent, _) => self.serve_agent(hello.process, sender, receiver).await,
@@ -83,7 +95,7 @@
     }
 
     fn known_entries(&self) -> Vec<SocketAddr> {
-        let mut entries = self.directory.borrow().known();
+        let mut entries = self.keeper.known();
         entries.push(self.settings.link_listen);
         entries
     }
@@ -94,7 +106,7 @@
         if address == self.settings.link_listen {
             return;
         }
-        if self.directory.borrow_mut().note(address, now) {
+        if self.keeper.note(address, now) {
             tracing::info!(%address, "entry found");
             self.tell_everybody_entries();
         }
@@ -107,39 +119,6 @@
         }
     }
 
-    /// Keeps links to all other entries.
-    pub(super) async fn keep_peer_links(self: Rc<Self>) {
-        let mut dialled: BTreeSet<SocketAddr> = BTreeSet::from([self.settings.link_listen]);
-        loop {
-            let now = self.clock.now();
-            self.directory.borrow_mut().forget_old(now);
-            let addresses = self.directory.borrow().addresses();
-            for address in addresses {
-                if dialled.insert(address) {
-                    tokio::task::spawn_local(Rc::clone(&self).keep_peer_link(address));
-                }
-            }
-            tokio::time::sleep(LINK_CHECK_INTERVAL).await;
-        }
-    }
-
-    async fn keep_peer_link(self: Rc<Self>, address: SocketAddr) {
-        let mut pause = RECONNECT_PAUSE;
-        loop {
-            if let Ok((sender, mut receiver)) = link::connect(address).await {
-                sender.send(self.hello());
-                if let Some(hello) = receiver.greeting(GREETING_PATIENCE).await {
-                    pause = RECONNECT_PAUSE;
-                    self.note_entry(address);
-                    self.serve_peer(hello.process, sender, receiver).await;
-                }
-            }
-            let jitter = 0.5 + fastrand::f64();
-            tokio::time::sleep(pause.mul_f64(jitter)).await;
-            pause = (pause * 2).min(LONGEST_PAUSE);
-        }
-    }
-
     async fn serve_peer(&self, peer: ProcessId, sender: LinkSender, mut receiver: LinkReceiver) {
         let link = self.next_id();
         tracing::info!(%peer, link, "entry linked");
@@ -190,7 +169,7 @@
         let now = self.clock.now();
         for address in entries {
             let is_own = address == self.settings.link_listen;
-            if !is_own && self.directory.borrow_mut().hear(address, now) {
+            if !is_own && self.keeper.hear(address, now) {
                 tracing::info!(%address, "entry named by another");
                 self.tell_everybody_entries();
             }
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -19,7 +19,6 @@
 
 use bulrushlatch_dispatch::{
     clock::{BootClock, BootTime},
-    directory::Directory,
     entry::Entry,
     hand_over::HandOver,
     ids::{CallerId, LinkId, ProcessId},
@@ -37,6 +36,7 @@
     http_server,
     interface::{CallerInterface, KeyedRecord, SiteStore, Stream},
     link::{Frame, LinkSender},
+    link_keeper::{LinkKeeper, keep_links},
     metrics::{self, MetricsSource},
     settings::EntrySettings,
     signals::watch_signals,
@@ -61,7 +61,7 @@
     links: RefCell<BTreeMap<LinkId, LinkSender>>,
     peers: RefCell<BTreeMap<LinkId, ProcessId>>,
     waiting: RefCell<BTreeMap<CallerId, oneshot::Sender<Answer>>>,
-    directory: RefCell<Directory>,
+    keeper: LinkKeeper,
     configuration: RefCell<Option<KeyedRecord>>,
     hand_over: RefCell<HandOver>,
     last_id: Cell<u64>,
@@ -98,7 +98,7 @@
         tokio::task::spawn_local(http_server::serve(caller_listener, Rc::clone(&handler)));
         tokio::task::spawn_local(http_server::serve(ready_listener, handler));
         tokio::task::spawn_local(Rc::clone(&process).accept_links(link_listener));
-        tokio::task::spawn_local(Rc::clone(&process).keep_peer_links());
+        tokio::task::spawn_local(keep_links(Rc::clone(&process)));
         tokio::task::spawn_local(Rc::clone(&process).watch_configuration());
         tokio::task::spawn_local(Rc::clone(&process).watch_entries());
         metrics::serve(&process, process.settings.common.metrics_listen).await;
@@ -120,7 +120,7 @@
             links: RefCell::default(),
             peers: RefCell::default(),
             waiting: RefCell::default(),
-            directory: RefCell::new(Directory::new(common.seeds.iter().copied())),
+            keeper: LinkKeeper::new(&common.seeds, Some(settings.link_listen)),
             configuration: RefCell::default(),
             hand_over: RefCell::default(),
             last_id: Cell::new(0),
--- a/crates/bulrushlatch_node/src/lib.rs
+++ b/crates/bulrushlatch_node/src/lib.rs
@@ -3,7 +3,7 @@
 //! - [`entry`]: the process that takes jobs
 //! - [`agent`]: the process beside a target
 //! - [`interface`]: what a platform's adapter implements
-//! - [`http_client`], [`http_server`], [`link`]: connections
+//! - [`http_client`], [`http_server`], [`link`], [`link_keeper`]: connections
 //! - [`settings`]: flags and environment variables, checked
 //! - [`logs`], [`metrics`]: what operators see
 
@@ -14,6 +14,7 @@
 pub mod http_server;
 pub mod interface;
 pub mod link;
+pub mod link_keeper;
 pub mod logs;
 pub mod metrics;
 pub mod settings;
