--- a/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
@@ -19,7 +19,7 @@
 /// When callers may come back to an entry that cannot serve yet.
 const RETRY_SOON: Duration = Duration::from_secs(1);
 /// Most tasks of a job.
-const MOST_TASKS: u32 = 10_000;
+const MOST_TASKS: u64 = 10_000;
 /// Time for messages that is taken off a job's time to wait.
 const MESSAGE_TIME: Duration = Duration::from_millis(8);
 
@@ -99,7 +99,7 @@
     }
 
     fn obstacle(&self, request: &JobRequest) -> Option<Refusal> {
-        let tasks: u32 = request.steps.iter().map(|step| step.tasks).sum();
+        let tasks: u64 = request.steps.iter().map(|step| u64::from(step.tasks)).sum();
         if self.is_leaving {
             Some(Refusal::ShuttingDown)
         } else if self.is_lagging() {
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -29,7 +29,7 @@
     clock::BootTime,
     frame::{AgentFrame, EntryFrame},
     ids::{CallerId, JobId, LinkId, ProcessId, TaskKey},
-    outcome::{Answer, RunOutcome},
+    outcome::{Answer, Obstacle, RunOutcome},
     routing::RoutingTable,
     timing::Timing,
 };
@@ -268,7 +268,7 @@
         for task in undelivered {
             let order = self.agents.get(agent).and_then(|view| view.runs.get(&task).copied());
             let Some(order) = order else { continue };
-            let outcome = RunOutcome::NotStarted(crate::outcome::Obstacle::Undelivered);
+            let outcome = RunOutcome::NotStarted(Obstacle::Undelivered);
             self.run_ended(now, agent, &task, order, outcome, Duration::ZERO);
         }
         for report in frame.reports {
--- a/crates/bulrushlatch_dispatch/src/routing.rs
+++ b/crates/bulrushlatch_dispatch/src/routing.rs
@@ -4,6 +4,9 @@
 
 use crate::ids::{RouteName, ServiceName};
 
+/// Largest factor on a job's work: beyond it an objective is none.
+const LARGEST_STRETCH: f64 = 1_000.0;
+
 /// One route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -28,7 +31,7 @@
 impl Route {
     /// Returns the response time to aim at for a job whose longest chain takes `work`.
     pub fn objective(&self, work: Duration) -> Duration {
-        work.mul_f64(self.stretch.max(0.0)) + self.target_latency
+        work.mul_f64(self.stretch.clamp(0.0, LARGEST_STRETCH)) + self.target_latency
     }
 }
 
--- a/crates/bulrushlatch_dispatch/tests/entry.rs
+++ b/crates/bulrushlatch_dispatch/tests/entry.rs
@@ -276,3 +276,25 @@
     assert_eq!(bench.answer_to(begun), Some(Answer::Interrupted));
     assert_eq!(bench.entry.open_jobs(), 0);
 }
+
+#[test]
+fn a_job_with_more_tasks_than_can_be_counted_is_refused() {
+    let mut bench = one_agent();
+    let mut request = job("huge", u32::MAX, 1, ms(60));
+    let mut second = request.steps[0].clone();
+    second.tasks = 10;
+    request.steps.push(second);
+    let caller = bench.submit(request, "quick");
+    assert!(matches!(
+        bench.answer_to(caller),
+        Some(Answer::Refused { reason: Refusal::Malformed, .. })
+    ));
+}
+
+#[test]
+fn a_route_with_an_absurd_stretch_is_served() {
+    let absurd = bulrushlatch_dispatch::routing::Route { stretch: 1e300, ..route("quick") };
+    assert!(absurd.objective(ms(60)) > ms(60));
+    let negative = bulrushlatch_dispatch::routing::Route { stretch: -1.0, ..route("quick") };
+    assert_eq!(negative.objective(ms(60)), ms(60));
+}
--- a/crates/bulrushlatch_node/src/entry/callers.rs
+++ b/crates/bulrushlatch_node/src/entry/callers.rs
@@ -121,7 +121,7 @@
         let began = self.clock.now();
         let caller = self.next_id();
         let (job, route_name) = (request.id.clone(), route.name.clone());
-        let tasks: u32 = request.steps.iter().map(|step| step.tasks).sum();
+        let tasks: u64 = request.steps.iter().map(|step| u64::from(step.tasks)).sum();
         let (sender, receiver) = oneshot::channel();
         self.waiting.borrow_mut().insert(caller, sender);
         let _guard = CallerGuard { process: self, caller };
