--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -82,6 +82,8 @@
 pub struct Agent {
     timing: Timing,
     target: Option<Target>,
+    /// Another life of the target that has announced itself while this one was not known to be over.
+    successor: Option<Announcement>,
     /// Lives of the target that are over; what they still say is ignored.
     retired: BTreeSet<TargetId>,
     runs: BTreeMap<TaskKey, Run>,
@@ -99,6 +101,7 @@
         Self {
             timing,
             target: None,
+            successor: None,
             retired: BTreeSet::new(),
             runs: BTreeMap::new(),
             contacts: BTreeMap::new(),
@@ -137,35 +140,28 @@
     }
 
     /// Takes what a target says of itself.
-    pub fn announced(&mut self, now: BootTime, announcement: Announcement) {
+    pub fn announced(&mut self, announcement: Announcement) {
         if self.retired.contains(&announcement.id) {
             tracing::info!(target = %announcement.id, "announcement of a past target ignored");
             return;
         }
-        if let Some(target) = &mut self.target {
-            if target.announcement.id == announcement.id {
-                if target.announcement.sequence < announcement.sequence {
-                    let was_leaving = target.announcement.is_leaving;
-                    let is_leaving = announcement.is_leaving;
-                    target.announcement = announcement;
-                    if was_leaving != is_leaving {
-                        tracing::info!(target = %target.announcement.id, is_leaving, "target changed state");
-                        self.note_news();
-                    }
-                }
-                return;
+        match &self.target {
+            None => self.adopt(announcement),
+            Some(target) if target.announcement.id == announcement.id => {
+                self.renew_announcement(announcement);
             }
-            let limit = self.timing.contact_limit;
-            let is_present = target.answered_at.is_some_and(|at| now.saturating_sub(at) < limit);
-            if is_present {
+            // Only the target's address shows who is there: the next look finds it out.
+            Some(target) => {
                 tracing::info!(
-                    target = %target.announcement.id, other = %announcement.id,
-                    "announcement of another target ignored while the present one answers"
+                    present = %target.announcement.id, other = %announcement.id,
+                    "announcement of another target"
                 );
-                return;
+                self.successor = Some(announcement);
             }
-            self.retire_target(now);
         }
+    }
+
+    fn adopt(&mut self, announcement: Announcement) {
         tracing::info!(
             target = %announcement.id, service = %announcement.service,
             cpu_millis = announcement.capacity.cpu_millis, "target found"
@@ -176,6 +172,20 @@
         self.note_news();
     }
 
+    fn renew_announcement(&mut self, announcement: Announcement) {
+        let Some(target) = &mut self.target else { return };
+        if target.announcement.sequence >= announcement.sequence {
+            return;
+        }
+        let was_leaving = target.announcement.is_leaving;
+        let is_leaving = announcement.is_leaving;
+        target.announcement = announcement;
+        if was_leaving != is_leaving {
+            tracing::info!(target = %target.announcement.id, is_leaving, "target changed state");
+            self.note_news();
+        }
+    }
+
     /// Takes word that the target has left.
     pub fn left(&mut self, now: BootTime, id: &TargetId) {
         if self.target_id() == Some(id) {
@@ -207,6 +217,11 @@
             self.finish(now, &task, RunOutcome::Lost);
         }
         self.note_news();
+        if let Some(successor) = self.successor.take()
+            && !self.retired.contains(&successor.id)
+        {
+            self.adopt(successor);
+        }
     }
 
     /// Opens a link to an entry.
--- a/crates/bulrushlatch_dispatch/tests/agent.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent.rs
@@ -57,7 +57,7 @@
 impl Bench {
     fn new() -> Self {
         let mut agent = Agent::new(timing());
-        agent.announced(BOOT, announcement("target", 1));
+        agent.announced(announcement("target", 1));
         agent.link_up(BOOT, entry(), 1);
         let mut bench = Self { agent, now: BOOT, last_order: 0, frames: Vec::new() };
         bench.look(&Look::default());
@@ -332,8 +332,8 @@
 fn a_late_announcement_of_a_past_target_changes_nothing() {
     let mut bench = Bench::new();
     bench.agent.left(bench.now, &"target".to_owned());
-    bench.agent.announced(bench.now, announcement("next", 1));
-    bench.agent.announced(bench.now, announcement("target", 9));
+    bench.agent.announced(announcement("next", 1));
+    bench.agent.announced(announcement("target", 9));
     assert_eq!(bench.agent.target_id(), Some(&"next".to_owned()));
 }
 
@@ -344,7 +344,7 @@
     let starts = bench.begun();
     bench.started(&starts[0], &StartReply::Started);
     let leaving = Announcement { is_leaving: true, ..announcement("target", 2) };
-    bench.agent.announced(bench.now, leaving);
+    bench.agent.announced(leaving);
     bench.start(1, 1_000);
     assert_eq!(bench.outcomes(), [RunOutcome::NotStarted(Obstacle::Unavailable)]);
     assert!(bench.stops().is_empty());
@@ -395,3 +395,27 @@
     bench.start(1, 1_000);
     assert_eq!(bench.begun().len(), 1);
 }
+
+#[test]
+fn an_unknown_announcement_does_not_end_the_runs_of_a_silent_target() {
+    let mut bench = Bench::new();
+    bench.start(0, 1_000);
+    let starts = bench.begun();
+    bench.started(&starts[0], &StartReply::Started);
+    bench.agent.renewal(bench.now);
+    bench.now += timing().contact_limit + ms(10);
+    bench.say(Vec::new());
+    // It may be late word of a life that ended before this process began.
+    bench.agent.announced(announcement("other", 1));
+    assert_eq!(bench.agent.target_id(), Some(&"target".to_owned()));
+    assert!(bench.outcomes().is_empty());
+}
+
+#[test]
+fn a_target_that_announced_itself_takes_over_once_the_former_is_over() {
+    let mut bench = Bench::new();
+    bench.agent.announced(announcement("next", 1));
+    assert_eq!(bench.agent.target_id(), Some(&"target".to_owned()));
+    bench.agent.look_failed(bench.now, &"target".to_owned(), TargetFault::OtherTarget);
+    assert_eq!(bench.agent.target_id(), Some(&"next".to_owned()));
+}
--- a/crates/bulrushlatch_dispatch/tests/one_run/world.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world.rs
@@ -933,7 +933,7 @@
         let life = self.agents[agent].id.incarnation;
         let is_awake = self.now_ms >= self.agents[agent].frozen_until_ms;
         if is_awake {
-            self.with_agent(agent, life, |core, now| core.announced(now, announcement));
+            self.with_agent(agent, life, |core, _| core.announced(announcement));
             let is_new = self.agents[agent]
                 .core
                 .as_ref()
--- a/crates/bulrushlatch_node/src/agent/mod.rs
+++ b/crates/bulrushlatch_node/src/agent/mod.rs
@@ -194,7 +194,7 @@
                 if address.is_some_and(|address| address != process.settings.target) {
                     tracing::info!(target = %announcement.id, ?address, "announcement of a target elsewhere");
                 }
-                process.act(|core, now| core.announced(now, announcement));
+                process.act(|core, _| core.announced(announcement));
                 process.target_found.notify_one();
                 text_response(StatusCode::OK, "{}")
             }
