--- a/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/arrivals.rs
@@ -5,7 +5,7 @@
 use crate::{
     clock::BootTime,
     ids::{CallerId, JobId},
-    job::JobRequest,
+    job::{JobRequest, Step},
     outcome::{Answer, Refusal},
     routing::Route,
 };
@@ -124,7 +124,8 @@
         };
         let latest_start = now + demand.patience;
         self.demands.note(now, &route.name, demand.cpu_millis);
-        let Some(supply) = self.supply(now, &route) else {
+        let can_be_placed = request.steps.iter().all(|step| self.has_target(now, &route, step));
+        let Some(supply) = self.supply(now, &route).filter(|_| can_be_placed) else {
             self.refuse(now, caller, &job, Refusal::NoTarget, Duration::ZERO);
             return;
         };
@@ -187,6 +188,15 @@
         self.run_times.expected(&route.name, request.longest_chain())
     }
 
+    /// Returns whether some target in use could take a task of a step, were it empty.
+    fn has_target(&self, now: BootTime, route: &Route, step: &Step) -> bool {
+        self.agents.values().any(|agent| {
+            agent.profile.service == route.service
+                && agent.is_open(now, &self.timing)
+                && step.fits(&agent.profile)
+        })
+    }
+
     /// Returns what there is for a job of a route; none if no agent takes its service's work.
     fn supply(&self, now: BootTime, route: &Route) -> Option<Supply> {
         let agents = self.agents.values().filter(|agent| {
--- a/crates/bulrushlatch_dispatch/src/entry/placement.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/placement.rs
@@ -34,8 +34,7 @@
 impl Candidate<'_> {
     /// Returns whether the step's tasks may run here at all, room aside.
     pub fn suits(&self, step: &Step) -> bool {
-        let has_label = |label: &String| self.labels.contains(label);
-        step.required_label.as_ref().is_none_or(has_label)
+        step.accepts_labels(self.labels)
             && step.most_per_target.is_none_or(|most| self.same_step < most)
     }
 
--- a/crates/bulrushlatch_dispatch/src/job.rs
+++ b/crates/bulrushlatch_dispatch/src/job.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::{ids::JobId, size::Size};
+use crate::{frame::Profile, ids::JobId, size::Size};
 
 /// A job as submitted.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,6 +36,18 @@
     pub most_per_target: Option<u32>,
 }
 
+impl Step {
+    /// Returns whether a target has the label that the tasks require, if they do.
+    pub fn accepts_labels(&self, labels: &[String]) -> bool {
+        self.required_label.as_ref().is_none_or(|label| labels.contains(label))
+    }
+
+    /// Returns whether an empty target could take one of the tasks.
+    pub fn fits(&self, profile: &Profile) -> bool {
+        self.size.fits(&profile.total) && self.accepts_labels(&profile.labels)
+    }
+}
+
 impl JobRequest {
     /// Returns the sum of the estimates along the longest chain of steps.
     pub fn longest_chain(&self) -> Duration {
--- a/crates/bulrushlatch_dispatch/tests/entry.rs
+++ b/crates/bulrushlatch_dispatch/tests/entry.rs
@@ -298,3 +298,18 @@
     let negative = bulrushlatch_dispatch::routing::Route { stretch: -1.0, ..route("quick") };
     assert_eq!(negative.objective(ms(60)), ms(60));
 }
+
+#[test]
+fn a_job_that_no_target_can_ever_take_is_refused_at_once() {
+    let mut bench = one_agent();
+    let too_large = bench.submit(job("large", 1, 17_000, ms(60)), "quick");
+    let mut request = job("labelled", 1, 1_000, ms(60));
+    request.steps[0].required_label = Some("nowhere".to_owned());
+    let nowhere = bench.submit(request, "quick");
+    for caller in [too_large, nowhere] {
+        assert!(matches!(
+            bench.answer_to(caller),
+            Some(Answer::Refused { reason: Refusal::NoTarget, .. })
+        ));
+    }
+}
