--- a/crates/bulrushlatch_dispatch/src/agent/ledger.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/ledger.rs
@@ -128,10 +128,10 @@
         true
     }
 
-    /// Takes a look at the target that was asked for at `asked_at`; returns the highest end seen.
-    pub fn looked(&mut self, now: BootTime, asked_at: BootTime, id: &TargetId, look: &Look) -> u64 {
+    /// Takes a look at the target that was asked for at `asked_at`.
+    pub fn looked(&mut self, now: BootTime, asked_at: BootTime, id: &TargetId, look: &Look) {
         if self.target_id() != Some(id) {
-            return 0;
+            return;
         }
         if let Some(target) = &mut self.target {
             target.answered(now, look.clock_ms);
@@ -143,7 +143,6 @@
             self.take_running(now, running);
         }
         self.end_unlisted(now, asked_at, look);
-        self.ends_seen()
     }
 
     /// Returns the highest end that was processed.
@@ -176,11 +175,8 @@
     }
 
     fn take_running(&mut self, now: BootTime, running: &RunningRun) {
-        let run = running.task.as_ref().and_then(|task| self.runs.get_mut(task));
-        if let Some(run) = run
-            && run.attempt == running.attempt
-        {
-            run.was_listed = true;
+        let run = running.task.as_ref().and_then(|task| self.runs.get(task));
+        if run.is_some_and(|run| run.attempt == running.attempt) {
             return;
         }
         let Some(target) = &mut self.target else { return };
--- a/crates/bulrushlatch_dispatch/src/agent/orders.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/orders.rs
@@ -65,7 +65,6 @@
             stop_wanted_at: None,
             stop_sent_at: None,
             stop_answered_at: None,
-            was_listed: false,
         };
         self.runs.insert(task.clone(), run);
         self.orders.push(TargetOrder::Start(task));
--- a/crates/bulrushlatch_dispatch/src/agent/run.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/run.rs
@@ -33,8 +33,6 @@
     pub stop_sent_at: Option<BootTime>,
     /// When the target answered a stop order.
     pub stop_answered_at: Option<BootTime>,
-    /// Whether the target has listed it.
-    pub was_listed: bool,
 }
 
 impl Run {
--- a/crates/bulrushlatch_dispatch/src/entry/endings.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/endings.rs
@@ -8,7 +8,10 @@
     outcome::{Answer, Obstacle, Refusal, RunOutcome},
 };
 
-use super::{Entry, job_state::Phase};
+use super::{
+    Entry, admission,
+    job_state::{JobState, Phase},
+};
 
 /// Starts of one task after which its job is given up, whatever ended them.
 const MOST_STARTS: u32 = 24;
@@ -124,7 +127,7 @@
         }
     }
 
-    fn is_too_late(&self, now: BootTime, job: &super::job_state::JobState) -> bool {
+    fn is_too_late(&self, now: BootTime, job: &JobState) -> bool {
         now + self.expected_work(&job.route, &job.request) >= job.objective_at
     }
 
@@ -140,7 +143,7 @@
         } else {
             self.counters.refused += 1;
             self.counters.refused_late += 1;
-            let retry_after = super::admission::retry_after(Duration::ZERO, self.rng.f64());
+            let retry_after = admission::retry_after(Duration::ZERO, self.rng.f64());
             Answer::Refused { reason: Refusal::Overloaded, retry_after }
         };
         self.end_job(now, id, answer);
--- a/crates/bulrushlatch_node/src/entry/links.rs
+++ b/crates/bulrushlatch_node/src/entry/links.rs
@@ -11,6 +11,7 @@
 
 use super::EntryProcess;
 use crate::{
+    http_server,
     interface::{CallerInterface, KeyedRecord, SiteStore},
     link::{self, Frame, LinkReceiver, LinkSender},
     link_keeper::{LinkKeeper, LinkOwner},
@@ -18,8 +19,6 @@
 
 /// Time in which the other side must say who it is.
 const GREETING_PATIENCE: Duration = Duration::from_secs(1);
-/// Pause after a failed accept, such as when file descriptors ran out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between two frames on a link to another entry, which shows that it still works.
 const PEER_HEARTBEAT: Duration = Duration::from_millis(300);
 /// Time without a frame after which a link to another entry is replaced.
@@ -55,10 +54,7 @@
     /// Takes links of agents and other entries.
     pub(super) async fn accept_links(self: Rc<Self>, listener: TcpListener) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            };
+            let stream = http_server::accept(&listener).await;
             let (sender, receiver) = link::split(stream);
             tokio::task::spawn_local(Rc::clone(&self).greet(sender, receiver));
         }
@@ -69,10 +65,7 @@
         let Some(hello) = receiver.greeting(GREETING_PATIENCE).await else { return };
         match (hello.role, hello.address) {
             (Role::Agent, _) => self.serve_agent(hello.process, sender, receiver).await,
-            (Role::Entry, Some(address)) => {
-                self.note_entry(address);
-                self.serve_peer(hello.process, sender, receiver).await;
-            }
+            (Role::Entry, Some(_)) => self.serve(hello, sender, receiver).await,
             (Role::Entry, None) => {}
         }
     }
--- a/crates/bulrushlatch_node/src/http_server.rs
+++ b/crates/bulrushlatch_node/src/http_server.rs
@@ -11,7 +11,7 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::interface::BodyResponse;
 
@@ -59,13 +59,23 @@
     TcpListener::bind(address).await
 }
 
+/// Returns the next connection.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                tracing::warn!(%error, "connection not taken");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Serves connections until the process ends.
 pub async fn serve<H: ServerHandler>(listener: TcpListener, handler: Rc<H>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = accept(&listener).await;
         // Without it small answers may wait for more; it is no fault if it cannot be set.
         let _ = stream.set_nodelay(true);
         let handler = Rc::clone(&handler);
--- a/crates/bulrushlatch_node/src/lib.rs
+++ b/crates/bulrushlatch_node/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`agent`]: the process beside a target
 //! - [`interface`]: what a platform's adapter implements
 //! - [`http_client`], [`http_server`], [`link`], [`link_keeper`]: connections
+//! - [`one_thread`]: how a process runs
 //! - [`settings`]: flags and environment variables, checked
 //! - [`logs`], [`metrics`]: what operators see
 
@@ -17,5 +18,6 @@
 pub mod link_keeper;
 pub mod logs;
 pub mod metrics;
+pub mod one_thread;
 pub mod settings;
 pub mod signals;
--- /dev/null
+++ b/crates/bulrushlatch_node/src/one_thread.rs
@@ -0,0 +1,23 @@
+//! Running a process on one thread.
+
+use std::{fmt::Debug, future::Future, process::ExitCode};
+
+use tokio::{runtime::Builder, task::LocalSet};
+
+/// Runs a process to its end, and says on standard error what ended it early.
+pub fn run<E: Debug>(name: &str, process: impl Future<Output = Result<(), E>>) -> ExitCode {
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("{name}: cannot set up the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match LocalSet::new().block_on(&runtime, process) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{name}: {error:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/bulrushlatch_node/src/settings.rs
+++ b/crates/bulrushlatch_node/src/settings.rs
@@ -1,7 +1,5 @@
 //! Flags and environment variables of both processes, checked.
 
-#![allow(missing_docs)]
-
 use std::{net::SocketAddr, time::Duration};
 
 use bulrushlatch_dispatch::timing::Timing;
