Ask entries that left a short while ago for their ids

An entry that leaves lingers for 1.5 s or more, but a new owner asked it only if it had left in the very epoch in which the slices were gained.

Now every entry that left within the last 30 s is asked. Those that left before the slice's first epoch may have exited: their answers are a gain, and their silence delays nothing.

Ruled out: keeping a leaving entry alive until its slices are sealed elsewhere (an orchestrator's grace is shorter than the time in which a successor may come).

--- a/crates/bulrushlatch_core/src/process/shard/collecting.rs
+++ b/crates/bulrushlatch_core/src/process/shard/collecting.rs
@@ -1,10 +1,10 @@
 //! Asking the other entries for the ids of gained slices.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bulrushlatch_protocol::ids::{Epoch, SliceId, slice_of};
 
-use super::{Moment, Shard};
+use super::{Moment, Shard, owned_slice::OwnedSlice};
 use crate::{
     connection::placement::Placement as PlacementRule,
     effect::{Destination, Effect},
@@ -13,6 +13,9 @@
     version::view::DepartureCause,
 };
 
+/// Longest time for which an entry that left is asked: the usual grace of a shutdown.
+const LEAVING_LASTS: Duration = Duration::from_secs(30);
+
 impl<P: PlacementRule> Shard<P> {
     pub(super) fn take_collect(
         &mut self,
@@ -60,24 +63,34 @@
         self.seal(effects);
     }
 
-    /// Members, and entries that left in order with this epoch and may still answer.
-    pub(super) fn entries_to_ask(&self) -> Vec<Destination> {
+    /// Members, and entries that left in order a short while ago and may still answer.
+    pub(super) fn entries_to_ask(&self, moment: Moment) -> Vec<Destination> {
         let me = self.me.incarnation;
         let others = self.view.members.keys().copied().filter(|&member| member != me);
         let mut asked: Vec<Destination> =
             others.filter_map(|member| self.destination_of(member)).collect();
         for departed in &self.view.departed {
-            let is_leaving = departed.cause == DepartureCause::Left;
-            if is_leaving && departed.removed_epoch == self.view.epoch {
-                let Some(incarnation) = Some(departed.incarnation).filter(|&old| old != me) else {
-                    continue;
-                };
+            let left_since_ms = moment.wall_ms.saturating_sub(departed.at_ms);
+            let may_answer = departed.cause == DepartureCause::Left
+                && u128::from(left_since_ms) < LEAVING_LASTS.as_millis();
+            if may_answer && departed.incarnation != me {
+                let incarnation = departed.incarnation;
                 asked.push(Destination { address: departed.address, incarnation });
             }
         }
         asked
     }
 
+    /// Returns whether a slice cannot be judged early without an entry's answer.
+    ///
+    /// An entry that left before the slice's first epoch may have exited; its answer is a gain,
+    /// and its silence costs no time.
+    fn must_answer(&self, owned: &OwnedSlice, asked: Destination) -> bool {
+        let mut departed = self.view.departed.iter();
+        let departed = departed.find(|departed| departed.incarnation == asked.incarnation);
+        departed.is_none_or(|departed| departed.removed_epoch >= owned.since_epoch)
+    }
+
     pub(super) fn ask(&self, asked: &[Destination], slices: &[SliceId], effects: &mut Vec<Effect>) {
         for &to in asked {
             let collect = Collect { view: Arc::clone(&self.view), slices: slices.to_vec() };
@@ -131,11 +144,11 @@
         effects: &mut Vec<Effect>,
     ) {
         let knows_all = self.is_every_id_known(moment, slice);
+        let has_all_answers = self.has_all_answers(slice);
         let Some(owned) = self.owned.get_mut(&slice) else { return };
         if owned.knows_all_ids {
             return;
         }
-        let has_all_answers = owned.asked.iter().all(|to| owned.repliers.contains(&to.incarnation));
         let waited = moment.now.saturating_duration_since(owned.since);
         // Who is still a member but does not answer may hold a lease for as long as this.
         let has_waited = waited >= self.limits.recovery_wait;
@@ -149,6 +162,12 @@
         }
     }
 
+    fn has_all_answers(&self, slice: SliceId) -> bool {
+        let Some(owned) = self.owned.get(&slice) else { return false };
+        let has_answered = |to: &Destination| owned.repliers.contains(&to.incarnation);
+        owned.asked.iter().all(|to| has_answered(to) || !self.must_answer(owned, *to))
+    }
+
     fn is_every_id_known(&self, moment: Moment, slice: SliceId) -> bool {
         let Some(owned) = self.owned.get(&slice) else { return false };
         if moment.now.saturating_duration_since(owned.since) >= self.id_lifetime() {
--- a/crates/bulrushlatch_core/src/process/shard/ownership.rs
+++ b/crates/bulrushlatch_core/src/process/shard/ownership.rs
@@ -120,7 +120,7 @@
             self.view.owner_of(*slice) == Some(me) && !self.owned.contains_key(slice)
         };
         let gained: Vec<SliceId> = self.slices.iter().copied().filter(is_gained).collect();
-        let asked = self.entries_to_ask();
+        let asked = self.entries_to_ask(moment);
         // An entry that joins may be one that was cut off, with what a slice still lacks.
         for owned in self.owned.values_mut().filter(|owned| !owned.knows_all_ids) {
             let news = asked.iter().filter(|to| !owned.asked.contains(to));
--- a/crates/bulrushlatch_core/tests/promises/main.rs
+++ b/crates/bulrushlatch_core/tests/promises/main.rs
@@ -80,6 +80,8 @@
         check(number, &faults);
     }
     check(1_772_991_065, &[Fault::TargetRefuses, Fault::FreezeEntry, Fault::LeaveAgent]);
+    check(1_636_770_112, &[Fault::LeaveEntry, Fault::LeaveEntry, Fault::LeaveAgent]);
+    check(1_461_796_366, &[Fault::KillAgent, Fault::KillEntry, Fault::LeaveEntry]);
     for number in 0..10 {
         check(8000 + number, &[Fault::Delay, Fault::Resubmit]);
         check(8100 + number, &[Fault::CutBothWays, Fault::KillAgent]);
