--- a/crates/bulrushlatch_node/src/agent/mod.rs
+++ b/crates/bulrushlatch_node/src/agent/mod.rs
@@ -11,12 +11,13 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
 use bulrushlatch_dispatch::{
-    agent::{Agent, TargetOrder},
+    agent::{Agent, TargetOrder, target::TargetId},
     clock::{BootClock, BootTime},
     ids::{LinkId, ProcessId},
 };
@@ -63,6 +64,8 @@
     news: Notify,
     /// Wakes the look at the target.
     target_found: Notify,
+    /// Address in the last announcement that was not the one in the settings.
+    elsewhere: Cell<Option<SocketAddr>>,
 }
 
 impl<T: LeasedTarget, A: AnnouncementInterface, S: SiteStore> AgentProcess<T, A, S> {
@@ -95,6 +98,7 @@
             last_link: Cell::new(0),
             news: Notify::new(),
             target_found: Notify::new(),
+            elsewhere: Cell::new(None),
             settings,
         });
         tracing::info!(process = %process.process, zone = %process.settings.common.zone, "agent started");
@@ -114,6 +118,14 @@
         Ok(())
     }
 
+    /// Logs where the target says it is, once for each address that is not the one in the settings.
+    fn note_address(&self, target: &TargetId, address: Option<SocketAddr>) {
+        let elsewhere = address.filter(|address| *address != self.settings.target);
+        if elsewhere.is_some() && self.elsewhere.replace(elsewhere) != elsewhere {
+            tracing::info!(%target, address = ?elsewhere, "target says that it is elsewhere");
+        }
+    }
+
     /// Lets the decisions act, then does what they want done.
     fn act<R>(self: &Rc<Self>, action: impl FnOnce(&mut Agent, BootTime) -> R) -> R {
         let now = self.clock.now();
@@ -191,9 +203,7 @@
         let news = process.announcements.decode(&request.method, &request.path, &request.body);
         match news {
             Ok(Some(TargetNews::Announced { announcement, address })) => {
-                if address.is_some_and(|address| address != process.settings.target) {
-                    tracing::info!(target = %announcement.id, ?address, "announcement of a target elsewhere");
-                }
+                process.note_address(&announcement.id, address);
                 process.act(|core, _| core.announced(announcement));
                 process.target_found.notify_one();
                 text_response(StatusCode::OK, "{}")
--- a/crates/bulrushlatch_node/src/entry/callers.rs
+++ b/crates/bulrushlatch_node/src/entry/callers.rs
@@ -25,6 +25,19 @@
 /// When callers may come back to an entry that has no configuration.
 const RETRY_UNCONFIGURED: Duration = Duration::from_secs(1);
 
+/// Turns of the connection after which the end of a caller that has gone is seen: one in which the
+/// body ends, one in which the connection does.
+const TURNS_TO_SEE_AN_END: usize = 2;
+
+/// Lets a connection whose caller has gone drop the future that awaits this.
+///
+/// Such a caller left while its request was held up on its way, and may be elsewhere with the same job.
+async fn show_gone_callers() {
+    for _ in 0..TURNS_TO_SEE_AN_END {
+        tokio::task::yield_now().await;
+    }
+}
+
 /// Answers callers and the balancer.
 pub struct CallerHandler<C, S> {
     process: Rc<EntryProcess<C, S>>,
@@ -52,6 +65,7 @@
         let call = RoutedCall { method, rest: &rest, headers, body };
         match process.callers.decode(&call) {
             Ok(CallerCall::Submit { request, patience }) => {
+                show_gone_callers().await;
                 CallerReply::Answer(process.submit(route, request, patience).await)
             }
             Ok(CallerCall::State(job)) => CallerReply::Answer(process.core.borrow().state(&job)),
--- a/crates/bulrushlatch_node/src/entry/flags.rs
+++ b/crates/bulrushlatch_node/src/entry/flags.rs
@@ -18,6 +18,8 @@
         optional --ready-listen address: String
         /// Address for agents and other entries
         optional --link-listen address: String
+        /// Address at which others reach --link-listen (default: the same)
+        optional --link-address address: String
         /// Addresses of some entries, separated by commas
         optional --seeds addresses: String
         /// Port that replaces the ports in --seeds (default: keep them)
@@ -48,6 +50,7 @@
     pub caller_listen: Option<String>,
     pub ready_listen: Option<String>,
     pub link_listen: Option<String>,
+    pub link_address: Option<String>,
     pub seeds: Option<String>,
     pub link_port: Option<String>,
     pub store: Option<String>,
--- a/crates/bulrushlatch_node/src/entry/links.rs
+++ b/crates/bulrushlatch_node/src/entry/links.rs
@@ -38,7 +38,7 @@
             version: FRAME_VERSION,
             process: self.process.clone(),
             role: Role::Entry,
-            address: Some(self.settings.link_listen),
+            address: Some(self.settings.link_address),
         }
     }
 
@@ -89,14 +89,14 @@
 
     fn known_entries(&self) -> Vec<SocketAddr> {
         let mut entries = self.keeper.known();
-        entries.push(self.settings.link_listen);
+        entries.push(self.settings.link_address);
         entries
     }
 
     /// Notes the address of an entry that is alive, and tells everybody if it is new.
     pub(super) fn note_entry(&self, address: SocketAddr) {
         let now = self.clock.now();
-        if address == self.settings.link_listen {
+        if address == self.settings.link_address {
             return;
         }
         if self.keeper.note(address, now) {
@@ -161,7 +161,7 @@
     fn hear_of_entries(&self, entries: Vec<SocketAddr>) {
         let now = self.clock.now();
         for address in entries {
-            let is_own = address == self.settings.link_listen;
+            let is_own = address == self.settings.link_address;
             if !is_own && self.keeper.hear(address, now) {
                 tracing::info!(%address, "entry named by another");
                 self.tell_everybody_entries();
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -120,7 +120,7 @@
             links: RefCell::default(),
             peers: RefCell::default(),
             waiting: RefCell::default(),
-            keeper: LinkKeeper::new(&common.seeds, Some(settings.link_listen)),
+            keeper: LinkKeeper::new(&common.seeds, Some(settings.link_address)),
             configuration: RefCell::default(),
             hand_over: RefCell::default(),
             last_id: Cell::new(0),
@@ -181,7 +181,7 @@
         let end = begun + grace.saturating_sub(LAST_MOMENT);
         tracing::info!(open_jobs = self.core.borrow().open_jobs(), "shutdown begun");
         self.is_closing.set(true);
-        let address = self.settings.link_listen.to_string();
+        let address = self.settings.link_address.to_string();
         let store = self.store.clone();
         tokio::task::spawn_local(async move {
             if let Err(fault) = store.put(Stream::Entries, &address, &[]).await {
--- a/crates/bulrushlatch_node/src/entry/store_watch.rs
+++ b/crates/bulrushlatch_node/src/entry/store_watch.rs
@@ -71,7 +71,7 @@
 
     /// Writes the own address and reads those of other entries.
     pub(super) async fn watch_entries(self: Rc<Self>) {
-        let own = self.settings.link_listen.to_string();
+        let own = self.settings.link_address.to_string();
         let mut is_written = false;
         loop {
             if !is_written && !self.is_closing.get() {
--- a/crates/bulrushlatch_node/src/settings.rs
+++ b/crates/bulrushlatch_node/src/settings.rs
@@ -49,8 +49,10 @@
     pub caller_listen: SocketAddr,
     /// Where the balancer asks whether this process is ready.
     pub ready_listen: SocketAddr,
-    /// Where agents and entries connect.
+    /// Where links are accepted.
     pub link_listen: SocketAddr,
+    /// Where agents and other entries connect; it leads to `link_listen`.
+    pub link_address: SocketAddr,
 }
 
 /// Settings of an agent.
@@ -147,8 +149,9 @@
         let caller_listen = address(&mut reader, "caller-listen", flags.caller_listen);
         let ready_listen = address(&mut reader, "ready-listen", flags.ready_listen);
         let link_listen = address(&mut reader, "link-listen", flags.link_listen);
+        let link_address = reader.optional("link-address", flags.link_address, link_listen);
         let common = read_common(&mut reader, common_flags!(flags));
-        reader.finish(Self { common, caller_listen, ready_listen, link_listen })
+        reader.finish(Self { common, caller_listen, ready_listen, link_listen, link_address })
     }
 }
 
