Fuzz: capacity, leaving targets; its world in modules; what notices each mechanism switched off

The oracle now sees starts beyond a target's capacity and on a target whose leave its agent had heard of 2 s before; one plan of four has a target that leaves. Two more defects are noticed (targets that announce twice their capacity, leaves that are not announced).

--- a/crates/bulrushlatch_dispatch/tests/agent.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent.rs
@@ -373,6 +373,21 @@
     assert_eq!(bench.outcomes(), [RunOutcome::Done]);
 }
 
+#[test]
+fn an_agent_that_shuts_down_takes_nothing_new_and_finishes_what_it_has() {
+    let mut bench = Bench::new();
+    bench.start(0, 1_000);
+    let starts = bench.begun();
+    bench.started(&starts[0], &StartReply::Started);
+    bench.agent.begin_shutdown();
+    bench.start(1, 1_000);
+    assert_eq!(bench.outcomes(), [RunOutcome::NotStarted(Obstacle::Unavailable)]);
+    assert!(bench.stops().is_empty());
+    assert!(!bench.agent.is_idle());
+    bench.look(&Look { ended: vec![ended(1, 0, 1, RunEnd::Done)], ..Look::default() });
+    assert!(bench.agent.is_idle());
+}
+
 #[test]
 fn a_target_that_fails_every_task_is_suspended_and_tried_again() {
     let mut bench = Bench::new();
--- a/crates/bulrushlatch_dispatch/tests/one_run/fault.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/fault.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Length of a case.
-pub const LENGTH: Duration = Duration::from_millis(16_500);
+pub const LENGTH: Duration = Duration::from_millis(17_500);
 /// Faults strike in this part of a case.
 const FAULTS_END_MS: u64 = 6_000;
 /// Longest time that a fault lasts.
@@ -11,8 +11,12 @@
 /// Time after the faults in which everything is well again: the platform's time in touch, and the
 /// longest suspension of a target that failed until the end.
 const RECOVERY_MS: u64 = 5_000;
+/// Time between a target's word that it leaves and its end.
+const LEAVING_MS: u64 = 3_500;
+/// One of so many plans has a target that leaves.
+const LEAVE_IN: u64 = 4;
 /// When all faults are over.
-pub const FAULTS_OVER_MS: u64 = FAULTS_END_MS + LONGEST_FAULT_MS;
+pub const FAULTS_OVER_MS: u64 = FAULTS_END_MS + LEAVING_MS;
 /// From here on every job is completed.
 pub const CALM_FROM_MS: u64 = FAULTS_OVER_MS + RECOVERY_MS;
 
@@ -43,9 +47,11 @@
     FailingTarget,
     /// Tasks at a target stand still for a while.
     StuckTarget,
+    /// A target says that it leaves, and is replaced a while later.
+    LeaveTarget,
 }
 
-/// All faults.
+/// The faults that plans are drawn from; a target that leaves comes beside them.
 const FAULTS: [Fault; 12] = [
     Fault::KillEntry,
     Fault::FreezeEntry,
@@ -96,6 +102,16 @@
         Self::of(rng, &faults)
     }
 
+    /// Adds a target that leaves for longer than it may get new work, to one plan of `LEAVE_IN`.
+    pub fn with_leaving_target(mut self, rng: &mut fastrand::Rng) -> Self {
+        if rng.u64(..LEAVE_IN) == 0 {
+            let leave = Self::of(rng, &[Fault::LeaveTarget]);
+            let leave = leave.strikes.into_iter();
+            self.strikes.extend(leave.map(|strike| Strike { for_ms: LEAVING_MS, ..strike }));
+        }
+        self
+    }
+
     /// Returns the given faults at arbitrary times and places.
     pub fn of(rng: &mut fastrand::Rng, faults: &[Fault]) -> Self {
         let strikes = faults.iter().map(|&fault| Strike {
--- a/crates/bulrushlatch_dispatch/tests/one_run/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/main.rs
@@ -24,6 +24,8 @@
 fn play(seed: u64, defect: Option<Defect>) -> Result<world::Summary, String> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let plan = Plan::draw(&mut rng);
+    // From a generator of its own, so that the rest of a seed's case stays as it was.
+    let plan = plan.with_leaving_target(&mut fastrand::Rng::with_seed(!seed));
     World::new(rng.fork(), plan, defect).play()
 }
 
@@ -153,3 +155,18 @@
 fn a_woken_entry_that_goes_on_runs_tasks_twice() {
     assert!(is_noticed(Defect::IgnoresSuspension, &[Fault::FreezeEntry, Fault::FreezeEntry]));
 }
+
+#[test]
+fn announcements_of_more_than_there_is_overfill_targets() {
+    assert!(is_noticed(Defect::LargerAnnouncement, &[Fault::KillEntry, Fault::KillTarget]));
+}
+
+#[test]
+fn a_leave_that_is_not_announced_is_not_respected() {
+    let noticed = (0..DEFECT_SEEDS).any(|seed| {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let plan = Plan::calm().with_leaving_target(&mut rng);
+        World::new(rng.fork(), plan, Some(Defect::SilentLeave)).play().is_err()
+    });
+    assert!(noticed);
+}
--- a/crates/bulrushlatch_dispatch/tests/one_run/oracle.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/oracle.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Notes something that must not happen.
+    pub fn note_fault(&mut self, fault: String) {
+        self.fault.get_or_insert(fault);
+    }
+
     /// Notes that a run is over.
     pub fn ended(&mut self, target: usize, task: &TaskKey, attempt: u32, is_done: bool) {
         tracing::info!(target, %task, attempt, is_done, "ORACLE ended");
--- a/crates/bulrushlatch_dispatch/tests/one_run/target.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/target.rs
@@ -12,6 +12,12 @@
 
 use crate::oracle::Oracle;
 
+/// Time after its agent heard that it leaves in which a target may still get new tasks, stated by
+/// the platform.
+const LEAVING_WITHIN_MS: u64 = 2_000;
+/// Tasks that fit into a target.
+pub const SLOTS: usize = 24;
+
 /// A run at the target.
 #[derive(Debug)]
 struct TargetRun {
@@ -33,6 +39,10 @@
     pub fails: bool,
     /// Whether tasks stand still.
     pub is_stuck: bool,
+    /// Whether it says that it leaves.
+    pub is_leaving: bool,
+    /// When its agent first heard that it leaves.
+    pub leave_noted_ms: Option<u64>,
     lease_until_ms: u64,
     runs: BTreeMap<TaskKey, TargetRun>,
     highest: BTreeMap<TaskKey, u32>,
@@ -49,6 +59,8 @@
             rate,
             fails: false,
             is_stuck: false,
+            is_leaving: false,
+            leave_noted_ms: None,
             lease_until_ms: 0,
             runs: BTreeMap::new(),
             highest: BTreeMap::new(),
@@ -84,6 +96,9 @@
             return StartReply::OldAttempt;
         }
         self.highest.insert(order.task.clone(), order.attempt);
+        if self.runs.len() >= SLOTS {
+            oracle.note_fault(format!("{now_ms} ms: {} begins beyond the capacity", order.task));
+        }
         oracle.began(now_ms, self.place, &order.task, order.attempt);
         let fails = self.fails;
         let ends_at_ms = if self.is_stuck { u64::MAX } else { now_ms + run_ms };
@@ -106,6 +121,11 @@
         true
     }
 
+    /// Returns whether it should have had its last new task by now.
+    pub fn has_left(&self, now_ms: u64) -> bool {
+        self.leave_noted_ms.is_some_and(|noted_ms| now_ms > noted_ms + LEAVING_WITHIN_MS)
+    }
+
     /// Renews the lease.
     pub fn renew(&mut self, until_ms: Option<u64>, now_ms: u64) {
         let until_ms = until_ms.unwrap_or_default().min(self.clock_ms(now_ms) + 1_000);
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/faults.rs
@@ -0,0 +1,91 @@
+//! Faults: their begin and end.
+
+use super::*;
+
+impl World {
+    pub(super) fn strike(&mut self, strike: Strike) {
+        let (entry, agent) = (strike.entry % ENTRIES, strike.agent % AGENTS);
+        let end_ms = self.now_ms + strike.for_ms;
+        match strike.fault {
+            Fault::KillEntry => {
+                self.close_links(|link| link.entry == entry);
+                self.entries[entry].core = None;
+                self.break_callers(entry);
+                self.after(strike.for_ms, Event::Restart { agent: None, entry: Some(entry) });
+            }
+            Fault::FreezeEntry => {
+                let process = &mut self.entries[entry];
+                process.suspended_ms +=
+                    end_ms.saturating_sub(process.frozen_until_ms.max(self.now_ms));
+                process.frozen_until_ms = process.frozen_until_ms.max(end_ms);
+                self.leave_frozen(entry);
+            }
+            Fault::KillAgent => {
+                self.close_links(|link| link.agent == agent);
+                self.agents[agent].core = None;
+                self.after(strike.for_ms, Event::Restart { agent: Some(agent), entry: None });
+            }
+            Fault::FreezeAgent => {
+                let process = &mut self.agents[agent];
+                process.frozen_until_ms = process.frozen_until_ms.max(end_ms);
+            }
+            Fault::CutLink => {
+                self.cut.insert((entry, agent), end_ms);
+            }
+            Fault::SilenceLink => {
+                let links = self.links.iter_mut();
+                for link in links.filter(|link| link.entry == entry && link.agent == agent) {
+                    link.is_silent = true;
+                }
+            }
+            Fault::ResetLink => self.close_links(|link| link.entry == entry && link.agent == agent),
+            Fault::LateOrders => {
+                self.late_targets.insert(agent, end_ms);
+            }
+            Fault::SilentTarget => {
+                self.silent_targets.insert(agent, end_ms);
+            }
+            Fault::KillTarget => self.replace_target(agent),
+            Fault::FailingTarget => self.targets[agent].fails = true,
+            Fault::StuckTarget => self.targets[agent].is_stuck = true,
+            Fault::LeaveTarget => self.targets[agent].is_leaving = true,
+        }
+        self.after(strike.for_ms, Event::Calm(strike));
+    }
+
+    fn replace_target(&mut self, agent: usize) {
+        let mut target = self.new_target(agent);
+        std::mem::swap(&mut target, &mut self.targets[agent]);
+        target.die(&mut self.oracle);
+    }
+
+    pub(super) fn calm(&mut self, strike: Strike) {
+        let agent = strike.agent % AGENTS;
+        match strike.fault {
+            Fault::FailingTarget => self.targets[agent].fails = false,
+            Fault::StuckTarget => self.targets[agent].is_stuck = false,
+            Fault::LeaveTarget => self.replace_target(agent),
+            _ => {}
+        }
+    }
+
+    /// Returns when a process that an event is for wakes up, if it stands still.
+    pub(super) fn frozen_until(&self, event: &Event) -> Option<u64> {
+        let until_ms = match event {
+            Event::EntryFrame { entry, .. }
+            | Event::EntryLinkDown { entry, .. }
+            | Event::EntryLinkUp { entry, .. }
+            | Event::CallerGone { entry, .. }
+            | Event::TickEntry { entry, .. } => self.entries[*entry].frozen_until_ms,
+            Event::AgentFrame { agent, .. }
+            | Event::AgentLinkDown { agent, .. }
+            | Event::AgentLinkUp { agent, .. }
+            | Event::TickAgent { agent, .. }
+            | Event::Started { agent, .. }
+            | Event::Stopped { agent, .. }
+            | Event::Looked { agent, .. } => self.agents[*agent].frozen_until_ms,
+            _ => 0,
+        };
+        (until_ms > self.now_ms).then_some(until_ms)
+    }
+}
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/jobs.rs
@@ -0,0 +1,143 @@
+//! Jobs and their callers.
+
+use super::*;
+
+impl World {
+    pub(super) fn new_job(&mut self) {
+        if self.now_ms < BOOT_MS + LENGTH.as_millis() as u64 - 2_500 {
+            let are_faults_over = self.now_ms >= BOOT_MS + FAULTS_OVER_MS;
+            let interval = if are_faults_over { CALM_JOB_INTERVAL_MS } else { JOB_INTERVAL_MS };
+            self.after(interval, Event::NewJob);
+        } else {
+            return;
+        }
+        let number = self.jobs.len();
+        let tasks = self.rng.u32(1..=3);
+        let job = Job {
+            id: format!("job-{number}").into(),
+            tasks,
+            first_ms: self.now_ms,
+            is_over: false,
+            is_completed: false,
+            attempt: None,
+        };
+        self.jobs.push(job);
+        self.summary.submitted += 1;
+        self.submit(number);
+    }
+
+    pub(super) fn submit(&mut self, number: usize) {
+        let job = &self.jobs[number];
+        if job.is_over || self.now_ms >= job.first_ms + PATIENCE_MS {
+            return;
+        }
+        let (id, tasks) = (job.id.clone(), job.tasks);
+        let left = Duration::from_millis(job.first_ms + PATIENCE_MS - self.now_ms);
+        let entry = self.rng.usize(..ENTRIES);
+        let life = self.entries[entry].id.incarnation;
+        if self.entries[entry].core.is_none() || self.now_ms < self.entries[entry].frozen_until_ms {
+            self.after(RESEND_AFTER_MS, Event::Submit { job: number });
+            return;
+        }
+        self.last_caller += 1;
+        let caller = self.last_caller;
+        self.callers.insert(caller, number);
+        self.jobs[number].attempt = Some((entry, life, caller));
+        let run_ms = 30 + (number as u64 * 137) % 1_700;
+        let request = JobRequest {
+            id,
+            payload: Arc::from(run_ms.to_string()),
+            steps: vec![Step {
+                tasks,
+                size: Size { cpu_millis: TASK_CPU_MILLIS, memory_mb: 1, accelerators: 0 },
+                estimate: Duration::from_millis(run_ms),
+                depends_on: Vec::new(),
+                required_label: None,
+                preferred_label: None,
+                most_per_target: None,
+            }],
+            unsupported: None,
+        };
+        let route = Arc::new(test_route());
+        let submission = Submission { caller, route, request, patience: Some(left) };
+        self.with_entry(entry, life, |core, now| core.submit(now, submission));
+    }
+
+    pub(super) fn answer(&mut self, caller: CallerId, answer: Answer) {
+        let Some(number) = self.callers.remove(&caller) else { return };
+        let job = &mut self.jobs[number];
+        if job.attempt.is_none_or(|(_, _, current)| current != caller) {
+            return;
+        }
+        job.attempt = None;
+        self.oracle.answered(self.now_ms, &job.id, job.tasks, answer);
+        match answer {
+            Answer::Interrupted => self.after(RESEND_AFTER_MS, Event::Submit { job: number }),
+            Answer::Completed => {
+                job.is_over = true;
+                job.is_completed = true;
+                self.summary.completed += 1;
+            }
+            _ => job.is_over = true,
+        }
+    }
+
+    /// Breaks the connections of callers to an entry; they submit again.
+    pub(super) fn break_callers(&mut self, entry: usize) {
+        for number in 0..self.jobs.len() {
+            if self.jobs[number].attempt.is_some_and(|(at, _, _)| at == entry) {
+                self.jobs[number].attempt = None;
+                self.oracle.unanswered(&self.jobs[number].id.clone());
+                self.after(RESEND_AFTER_MS, Event::Submit { job: number });
+            }
+        }
+    }
+
+    /// Half of the callers of a frozen entry give up at once and submit again.
+    pub(super) fn leave_frozen(&mut self, entry: usize) {
+        for number in 0..self.jobs.len() {
+            let Some((at, life, caller)) = self.jobs[number].attempt else { continue };
+            if at != entry || self.rng.bool() {
+                continue;
+            }
+            self.jobs[number].attempt = None;
+            self.oracle.unanswered(&self.jobs[number].id.clone());
+            self.after(RESEND_AFTER_MS, Event::Submit { job: number });
+            // Word of it arrives some time after the entry has woken.
+            let delay_ms = self.rng.u64(1..100);
+            self.at(
+                self.entries[entry].frozen_until_ms + delay_ms,
+                Event::CallerGone { entry, life, caller },
+            );
+        }
+    }
+
+    /// Once the faults are over, every job is completed.
+    pub(super) fn judge_calm(&self) -> Result<(), String> {
+        let calm_from_ms = BOOT_MS + CALM_FROM_MS;
+        let calm = self.jobs.iter().filter(|job| job.first_ms >= calm_from_ms);
+        let unserved: Vec<&JobId> =
+            calm.filter(|job| !job.is_completed).map(|job| &job.id).collect();
+        if unserved.is_empty() {
+            return Ok(());
+        }
+        Err(format!("not completed after the faults: {unserved:?}"))
+    }
+}
+
+pub(super) fn routing_table() -> RoutingTable {
+    RoutingTable::new(1, vec![test_route()], None)
+}
+
+fn test_route() -> Route {
+    Route {
+        name: Arc::from("route"),
+        host: "host".to_owned(),
+        path_prefix: "/jobs/".to_owned(),
+        service: "service".to_owned(),
+        priority: 0,
+        max_failed_runs: 8,
+        stretch: 8.0,
+        target_latency: Duration::from_millis(1_000),
+    }
+}
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/processes.rs
@@ -0,0 +1,123 @@
+//! Processes and their clocks.
+
+use super::*;
+
+impl World {
+    pub(super) fn timing(&self) -> Timing {
+        Timing::new(Duration::from_millis(RESEND_AFTER_MS), LONGEST_LEASE)
+    }
+
+    pub(super) fn agent_timing(&self) -> Timing {
+        let timing = self.timing();
+        match self.defect {
+            Some(Defect::NoContactLimit) => {
+                Timing { contact_limit: Duration::from_secs(20), ..timing }
+            }
+            Some(Defect::LongLease) => Timing { lease: Duration::from_secs(3), ..timing },
+            _ => timing,
+        }
+    }
+
+    pub(super) fn entry_timing(&self) -> Timing {
+        let timing = self.timing();
+        match self.defect {
+            Some(Defect::NoSettling) => {
+                Timing { stop_grace: Duration::ZERO, lease: Duration::ZERO, ..timing }
+            }
+            _ => timing,
+        }
+    }
+
+    pub(super) fn new_process<P>(&mut self, name: String) -> Process<P> {
+        let id = ProcessId { name, incarnation: self.rng.u64(1..) };
+        Process { core: None, id, frozen_until_ms: 0, suspended_ms: 0 }
+    }
+
+    pub(super) fn new_target(&mut self, place: usize) -> Target {
+        self.target_lives += 1;
+        let rate = 0.98 + 0.04 * self.rng.f64();
+        Target::new(place, self.target_lives, rate)
+    }
+
+    pub(super) fn start_entry(&mut self, number: usize) {
+        let seed = self.rng.u64(..);
+        let mut core = Entry::new(self.entry_timing(), "a".to_owned(), seed);
+        core.configure(routing_table());
+        core.set_entries(ENTRIES as u32);
+        let process = &mut self.entries[number];
+        process.id.incarnation = seed.max(1);
+        process.core = Some(core);
+        let life = process.id.incarnation;
+        self.after(1, Event::TickEntry { entry: number, life });
+    }
+
+    pub(super) fn start_agent(&mut self, number: usize) {
+        let incarnation = self.rng.u64(1..);
+        let core = Agent::new(self.agent_timing());
+        let process = &mut self.agents[number];
+        process.id.incarnation = incarnation;
+        process.core = Some(core);
+        self.after(1, Event::TickAgent { agent: number, life: incarnation });
+        self.after(1, Event::Heartbeat { agent: number });
+    }
+
+    pub(super) fn entry_clock(&self, entry: usize) -> BootTime {
+        let suspended_ms = match self.defect {
+            Some(Defect::IgnoresSuspension) => self.entries[entry].suspended_ms,
+            _ => 0,
+        };
+        Duration::from_millis(self.now_ms - suspended_ms)
+    }
+
+    pub(super) fn clock(&self) -> BootTime {
+        Duration::from_millis(self.now_ms)
+    }
+
+    pub(super) fn with_entry(
+        &mut self,
+        entry: usize,
+        life: u64,
+        act: impl FnOnce(&mut Entry, BootTime),
+    ) {
+        let now = self.entry_clock(entry);
+        let process = &mut self.entries[entry];
+        if process.id.incarnation != life {
+            return;
+        }
+        let id = process.id.clone();
+        let Some(core) = &mut process.core else { return };
+        act(core, now);
+        let frames = core.frames(now);
+        let answers = core.take_answers();
+        for (link, frame) in frames {
+            self.send_to_agent(link, &id, frame);
+        }
+        for (caller, answer) in answers {
+            self.answer(caller, answer);
+        }
+    }
+
+    pub(super) fn with_agent(
+        &mut self,
+        agent: usize,
+        life: u64,
+        act: impl FnOnce(&mut Agent, BootTime),
+    ) {
+        let now = self.clock();
+        let process = &mut self.agents[agent];
+        if process.id.incarnation != life {
+            return;
+        }
+        let id = process.id.clone();
+        let Some(core) = &mut process.core else { return };
+        act(core, now);
+        let orders = core.take_orders();
+        let frames = core.frames(now, Duration::from_millis(8));
+        for order in orders {
+            self.order(agent, life, order);
+        }
+        for (link, frame) in frames {
+            self.send_to_entry(link, &id, frame);
+        }
+    }
+}
