--- a/crates/bulrushlatch_bin/src/bin/bulrush-lab.rs
+++ b/crates/bulrushlatch_bin/src/bin/bulrush-lab.rs
@@ -1,6 +1,8 @@
 //! The lab program.
 
-use std::{net::SocketAddr, process::ExitCode, sync::atomic::Ordering, time::Duration};
+use std::{
+    fs, net::SocketAddr, path::Path, process::ExitCode, sync::atomic::Ordering, time::Duration,
+};
 
 use bulrushlatch_lab::{
     capacity::{
@@ -8,7 +10,8 @@
         table::{self, PlannedSize},
     },
     demo,
-    flags::{Bench, BulrushLab, BulrushLabCmd, Capacity, Load, Log, Policy, Target},
+    flags::{Bench, BulrushLab, BulrushLabCmd, Capacity, Load, Log, Policy, Report, Target},
+    journal::{entries, page},
     load::{
         report::LoadFigures,
         run::{self, LoadPlan},
@@ -45,6 +48,7 @@
             workload
                 .map(|workload| println!("{}", failover::run(workload, flags.seed.unwrap_or(1))))
         }
+        BulrushLabCmd::Report(flags) => write_report(&flags),
         BulrushLabCmd::Demo(_) => demo::run(),
     };
     match result {
@@ -174,6 +178,16 @@
     Ok(())
 }
 
+fn write_report(flags: &Report) -> Result<(), String> {
+    let entries = entries::read(Path::new(&flags.directory));
+    let entries = entries.map_err(|error| format!("{error:?}"))?;
+    let page = page::page(&entries).map_err(|error| error.to_string())?;
+    let file = flags.out.as_deref().unwrap_or("report.html");
+    fs::write(file, page).map_err(|error| format!("{file}: {error}"))?;
+    println!("{} entries, written to {file}", entries.len());
+    Ok(())
+}
+
 /// Returns the messages and the calls that all processes have sent.
 fn sent(site: &Site) -> (u64, u64) {
     let entries = site.entries.iter().map(|entry| entry.process.outbox().counters());
--- a/crates/bulrushlatch_lab/src/flags.rs
+++ b/crates/bulrushlatch_lab/src/flags.rs
@@ -86,6 +86,13 @@
             /// Time between heartbeats in seconds (default 0.5)
             optional --heartbeat-s seconds: f64
         }
+        /// Write a page with the scores of a journal over time, and what each day loses
+        cmd report {
+            /// Directory of the journal
+            required directory: String
+            /// File to write (default report.html)
+            optional --out file: String
+        }
         /// Run the whole path in one process and check the answers
         cmd demo {
         }
@@ -108,6 +115,7 @@
     Policy(Policy),
     Failover(Failover),
     Capacity(Capacity),
+    Report(Report),
     Demo(Demo),
 }
 
@@ -168,6 +176,13 @@
     pub heartbeat_s: Option<f64>,
 }
 
+#[derive(Debug)]
+pub struct Report {
+    pub directory: String,
+
+    pub out: Option<String>,
+}
+
 #[derive(Debug)]
 pub struct Demo;
 
