One way to start logs, for all programs; the last lines are written

Cause: the native programs wrote log lines to standard error without a bound, beside the bounded logs of the site's programs, and a process that ended lost the lines its writing thread still had.

`bulrushlatch_runtime::logs` now serves all: bounded, never blocking, on standard output (the lab, which prints results there, on standard error), with a guard that gives the last lines 100 ms.

--- a/crates/bulrushlatch_agent/src/process.rs
+++ b/crates/bulrushlatch_agent/src/process.rs
@@ -13,10 +13,10 @@
     process::agent::Agent,
 };
 use bulrushlatch_runtime::{
+    metrics_text::metrics_text,
     outbox::Outbox,
     peer_api::{PeerListener, Receiver},
     start_error::StartError,
-    telemetry::metrics_text,
     web::{WebHandler, WebRequest, serve_http, text_response},
 };
 use crossbeam::channel::{Sender, unbounded};
--- a/crates/bulrushlatch_bin/src/bin/bulrush-entry.rs
+++ b/crates/bulrushlatch_bin/src/bin/bulrush-entry.rs
@@ -4,7 +4,9 @@
 
 use bulrushlatch_entry::{flags::BulrushEntry, process::EntryProcess, settings::EntrySettings};
 use bulrushlatch_runtime::{
-    shutdown::token_on_signals, start_error::StartError, telemetry::start_logs,
+    logs::{LogOutput, start_logs},
+    shutdown::token_on_signals,
+    start_error::StartError,
 };
 use error_stack::{Report, ResultExt};
 
@@ -16,7 +18,7 @@
             return ExitCode::from(2);
         }
     };
-    start_logs(settings.log_format, &settings.log_level);
+    let _logs = start_logs(settings.log_format, &settings.log_level, LogOutput::Output);
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/bulrushlatch_bin/tests/support/mod.rs
+++ b/crates/bulrushlatch_bin/tests/support/mod.rs
@@ -28,14 +28,14 @@
 impl Program {
     fn spawn(name: &str, arguments: &[String], address: SocketAddr) -> Self {
         let mut command = Command::new(program_path(name));
-        command.args(arguments).stdout(Stdio::piped()).stderr(Stdio::piped());
+        command.args(arguments).stdout(Stdio::piped());
         let child = command.spawn().expect("the program starts");
         Self { child, address, peers: address }
     }
 
     /// Waits for the log line that names the addresses of a program, and takes them from it.
     fn read_addresses(&mut self) {
-        let output = self.child.stderr.take().expect("the output is piped");
+        let output = self.child.stdout.take().expect("the output is piped");
         let mut lines = BufReader::new(output).lines();
         let started = lines.by_ref().map_while(Result::ok).find(|line| line.contains(" started "));
         let started = started.expect("the program says that it started");
--- a/crates/bulrushlatch_entry/src/metrics.rs
+++ b/crates/bulrushlatch_entry/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use bulrushlatch_runtime::telemetry::metrics_text;
+use bulrushlatch_runtime::metrics_text::metrics_text;
 use prometheus_client::{
     metrics::{counter::ConstCounter, gauge::ConstGauge},
     registry::Registry,
--- a/crates/bulrushlatch_entry/src/settings.rs
+++ b/crates/bulrushlatch_entry/src/settings.rs
@@ -5,8 +5,8 @@
 use bulrushlatch_core::limits::Limits;
 use bulrushlatch_protocol::ids::{NodeName, ZoneName};
 use bulrushlatch_runtime::{
+    logs::LogFormat,
     settings_reader::{SettingsError, SettingsReader},
-    telemetry::LogFormat,
 };
 
 use crate::flags::BulrushEntry;
--- a/crates/bulrushlatch_node/src/lib.rs
+++ b/crates/bulrushlatch_node/src/lib.rs
@@ -6,7 +6,6 @@
 //! - [`http_client`], [`http_server`], [`link`], [`link_keeper`]: connections
 //! - [`one_thread`]: how a process runs
 //! - [`settings`]: flags and environment variables, checked
-//! - [`logs`], [`metrics`]: what operators see
 
 pub mod agent;
 pub mod boot_clock;
@@ -16,7 +15,6 @@
 pub mod interface;
 pub mod link;
 pub mod link_keeper;
-pub mod logs;
 pub mod metrics;
 pub mod one_thread;
 pub mod settings;
--- a/crates/bulrushlatch_node/src/metrics.rs
+++ b/crates/bulrushlatch_node/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use bulrushlatch_runtime::telemetry::metrics_text;
+use bulrushlatch_runtime::metrics_text::metrics_text;
 use hyper::StatusCode;
 use prometheus_client::{
     metrics::{counter::ConstCounter, gauge::ConstGauge, histogram::Histogram},
--- a/crates/bulrushlatch_node/src/settings.rs
+++ b/crates/bulrushlatch_node/src/settings.rs
@@ -4,8 +4,8 @@
 
 use bulrushlatch_dispatch::timing::Timing;
 use bulrushlatch_runtime::{
+    logs::LogFormat,
     settings_reader::{SettingsError, SettingsReader},
-    telemetry::LogFormat,
 };
 
 use crate::{agent::flags::BulrushSiteAgent, entry::flags::BulrushSiteEntry};
--- a/crates/bulrushlatch_runtime/src/lib.rs
+++ b/crates/bulrushlatch_runtime/src/lib.rs
@@ -5,15 +5,17 @@
 //! - [`log_link`]: following and writing the platform's log
 //! - [`settings_reader`]: flags and environment variables, checked together
 //! - [`start_error`]: why a process could not be started
-//! - [`telemetry`]: logs and the text form of metrics
+//! - [`logs`]: structured logs that never block
+//! - [`metrics_text`]: the text form of metrics
 //! - [`shutdown`]: a token that signals cancel
 //! - [`web`]: small helpers for HTTP servers
 
 pub mod log_link;
+pub mod logs;
+pub mod metrics_text;
 pub mod outbox;
 pub mod peer_api;
 pub mod settings_reader;
 pub mod shutdown;
 pub mod start_error;
-pub mod telemetry;
 pub mod web;
