Pause longer between looks at a target that resets connections

An agent looked again 5 ms after each failure, on a new connection each time. The pause now doubles up to 80 ms.

--- a/crates/bulrushlatch_node/src/agent/target_driver.rs
+++ b/crates/bulrushlatch_node/src/agent/target_driver.rs
@@ -17,8 +17,10 @@
 /// How long the target may hold a look back while it waits for an end: well under the lease and
 /// under the time after which the target counts as silent.
 const LOOK_WAIT: Duration = Duration::from_millis(100);
-/// Pause after a look that failed.
+/// Pause after a look that failed; each further one is twice as long, since each may open a connection.
 const FAULT_PAUSE: Duration = Duration::from_millis(5);
+/// Longest pause, so that a target that answers again is used within moments.
+const LONGEST_FAULT_PAUSE: Duration = Duration::from_millis(80);
 
 impl<T: LeasedTarget, A: AnnouncementInterface, S: SiteStore> AgentProcess<T, A, S> {
     /// Orders the start of a task.
@@ -44,11 +46,15 @@
 
     /// Looks at the target again and again, and renews its lease.
     pub(super) async fn look_at_target(self: Rc<Self>) {
+        let mut pause = FAULT_PAUSE;
         loop {
             if self.core.borrow().target_id().is_none() {
                 self.target_found.notified().await;
-            } else if !self.look_once(LOOK_WAIT).await {
-                tokio::time::sleep(FAULT_PAUSE).await;
+            } else if self.look_once(LOOK_WAIT).await {
+                pause = FAULT_PAUSE;
+            } else {
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_FAULT_PAUSE);
             }
         }
     }
