--- a/crates/bulrushlatch_ctl/src/commands.rs
+++ b/crates/bulrushlatch_ctl/src/commands.rs
@@ -11,6 +11,7 @@
 use crate::{
     client::Client,
     flags::{Bulrushctl, BulrushctlCmd, Drain, Explain, Publish, Submit},
+    request_story::request_story,
     table::render,
 };
 
@@ -20,6 +21,9 @@
 ///
 /// Returns the text of what went wrong.
 pub fn run(flags: Bulrushctl) -> Result<String, String> {
+    if let BulrushctlCmd::ExplainRequest(request) = &flags.subcommand {
+        return request_story(&request.id, std::io::stdin().lock());
+    }
     let addresses = flags.entries.or_else(|| std::env::var("BULRUSH_ENTRIES").ok());
     let client = Client::new(&addresses.unwrap_or_default())?;
     let as_json = flags.json;
@@ -44,6 +48,8 @@
         }
         BulrushctlCmd::Drain(drain) => drain_target(&client, drain, as_json),
         BulrushctlCmd::Submit(submit) => submit_file(&client, &submit),
+        // Needs no entry.
+        BulrushctlCmd::ExplainRequest(_) => unreachable!("handled above"),
     }
 }
 
--- a/crates/bulrushlatch_ctl/src/flags.rs
+++ b/crates/bulrushlatch_ctl/src/flags.rs
@@ -53,6 +53,11 @@
             /// How many (default 50)
             optional --count count: u64
         }
+        /// Show what became of a request, from log lines of all processes on standard input
+        cmd explain-request {
+            /// Id of the request
+            required id: String
+        }
         /// Show entries, agents and queues
         cmd status {
         }
@@ -89,6 +94,7 @@
     Explain(Explain),
     History(History),
     Audit(Audit),
+    ExplainRequest(ExplainRequest),
     Status(Status),
     Drain(Drain),
     Submit(Submit),
@@ -127,6 +133,11 @@
     pub count: Option<u64>,
 }
 
+#[derive(Debug)]
+pub struct ExplainRequest {
+    pub id: String,
+}
+
 #[derive(Debug)]
 pub struct Status;
 
