--- a/crates/bulrushlatch_dispatch/tests/agent.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/main.rs
@@ -1,145 +1,16 @@
 //! Single decisions of an agent.
 
-use std::time::Duration;
+mod bench;
 
 use bulrushlatch_dispatch::{
-    agent::{
-        Agent, BegunStart, TargetOrder,
-        target::{Announcement, EndedRun, Look, RunEnd, RunningRun, StartReply, TargetFault},
-    },
-    clock::BootTime,
-    frame::{Action, AgentFrame, EntryFrame, Order, StartOrder},
-    ids::{ProcessId, TaskKey},
+    agent::target::{Announcement, Look, RunEnd, StartReply, TargetFault},
+    frame::{Action, StartOrder},
     outcome::{Obstacle, RunOutcome},
     size::Size,
     timing::Timing,
 };
 
-const BOOT: BootTime = Duration::from_secs(100);
-const PAUSE: Duration = Duration::from_millis(8);
-
-fn ms(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
-
-fn timing() -> Timing {
-    Timing::new(ms(1300), ms(1000))
-}
-
-fn entry() -> ProcessId {
-    ProcessId { name: "entry".to_owned(), incarnation: 7 }
-}
-
-fn task(index: u32) -> TaskKey {
-    TaskKey { job: format!("job-{index}").into(), step: 0, index: 0 }
-}
-
-fn announcement(id: &str, sequence: u64) -> Announcement {
-    Announcement {
-        id: id.to_owned(),
-        service: "service".to_owned(),
-        zone: "a".to_owned(),
-        capacity: Size { cpu_millis: 4_000, memory_mb: 1_000, accelerators: 0 },
-        labels: Vec::new(),
-        is_leaving: false,
-        clock_ms: 5_000,
-        sequence,
-    }
-}
-
-struct Bench {
-    agent: Agent,
-    now: BootTime,
-    last_order: u64,
-    frames: Vec<AgentFrame>,
-}
-
-impl Bench {
-    fn new() -> Self {
-        let mut agent = Agent::new(timing());
-        agent.announced(announcement("target", 1));
-        agent.link_up(BOOT, entry(), 1);
-        let mut bench = Self { agent, now: BOOT, last_order: 0, frames: Vec::new() };
-        bench.look(&Look::default());
-        bench.say(Vec::new());
-        bench
-    }
-
-    fn say(&mut self, actions: Vec<Action>) {
-        self.say_at(self.now, actions);
-    }
-
-    fn say_at(&mut self, stamp: BootTime, actions: Vec<Action>) {
-        let orders = actions.into_iter().map(|action| {
-            self.last_order += 1;
-            Order { number: self.last_order, action }
-        });
-        let frame = EntryFrame {
-            stamp_echo_ms: stamp.as_millis() as u64,
-            reports_seen: 0,
-            is_in_use: true,
-            orders: orders.collect(),
-        };
-        self.agent.receive(self.now, &entry(), 1, frame);
-    }
-
-    fn look(&mut self, look: &Look) {
-        let asked_at = self.now;
-        self.now += ms(1);
-        self.agent.looked(self.now, asked_at, &"target".to_owned(), look);
-    }
-
-    fn start(&mut self, index: u32, cpu_millis: u64) {
-        self.say(vec![Action::Start(StartOrder {
-            task: task(index),
-            attempt: 1,
-            payload: "payload".into(),
-            size: Size { cpu_millis, memory_mb: 1, accelerators: 0 },
-            has_failed: false,
-        })]);
-    }
-
-    fn begun(&mut self) -> Vec<BegunStart> {
-        let orders = self.agent.take_orders();
-        let starts = orders.into_iter().filter_map(|order| match order {
-            TargetOrder::Start(task) => self.agent.begin_start(self.now, &task),
-            TargetOrder::Stop(_) => None,
-        });
-        starts.collect()
-    }
-
-    fn started(&mut self, start: &BegunStart, reply: &StartReply) {
-        self.now += ms(1);
-        let clock_ms = (*reply != StartReply::NoAnswer).then_some(5_000);
-        self.agent.start_answered(self.now, start, clock_ms, reply);
-    }
-
-    fn stops(&mut self) -> Vec<bulrushlatch_dispatch::agent::StopOrder> {
-        let orders = self.agent.take_orders();
-        let stops = orders.into_iter().filter_map(|order| match order {
-            TargetOrder::Stop(stop) => Some(stop),
-            TargetOrder::Start(_) => None,
-        });
-        stops.collect()
-    }
-
-    fn outcomes(&mut self) -> Vec<RunOutcome> {
-        self.now += ms(10);
-        let frames = self.agent.frames(self.now, PAUSE);
-        let outcomes = frames.iter().flat_map(|(_, frame)| &frame.reports);
-        let outcomes = outcomes.map(|report| report.outcome).collect();
-        self.frames.extend(frames.into_iter().map(|(_, frame)| frame));
-        outcomes
-    }
-}
-
-fn ended(number: u64, index: u32, attempt: u32, how: RunEnd) -> EndedRun {
-    EndedRun { number, task: Some(task(index)), attempt, how }
-}
-
-fn running(index: u32, attempt: u32) -> RunningRun {
-    RunningRun { task: Some(task(index)), name: task(index).to_string(), attempt }
-}
+use self::bench::*;
 
 /// The entry may remember this agent for longer than the agent remembers the entry.
 #[test]
--- a/crates/bulrushlatch_dispatch/tests/load.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/site.rs
@@ -1,8 +1,4 @@
-//! Who waits, who is refused and where work goes, under patterns of load.
-//!
-//! One entry and model targets on a virtual clock; no network.
-
-mod support;
+//! One entry and model targets on a virtual clock.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -17,67 +13,67 @@
     size::Size,
 };
 
-use support::{BOOT, job, ms, process, route, timing};
+use super::support::{BOOT, job, ms, process, route, timing};
 
 /// Processor of one task.
-const TASK_CPU_MILLIS: u64 = 1_600;
+pub const TASK_CPU_MILLIS: u64 = 1_600;
 /// Processor of one target: ten tasks.
-const TARGET_CPU_MILLIS: u64 = 16_000;
+pub const TARGET_CPU_MILLIS: u64 = 16_000;
 /// Step of the virtual clock.
-const STEP: Duration = Duration::from_millis(1);
+pub const STEP: Duration = Duration::from_millis(1);
 
 /// A kind of job.
 #[derive(Clone, Copy)]
-struct Kind {
-    name: &'static str,
-    priority: u32,
-    tasks: u32,
-    run_ms: u64,
-    per_s: f64,
+pub struct Kind {
+    pub name: &'static str,
+    pub priority: u32,
+    pub tasks: u32,
+    pub run_ms: u64,
+    pub per_s: f64,
     /// Whether its tasks fail wherever they run.
-    fails: bool,
+    pub fails: bool,
 }
 
-const PRICE_CHECK: Kind =
+pub const PRICE_CHECK: Kind =
     Kind { name: "price", priority: 0, tasks: 8, run_ms: 60, per_s: 35.0, fails: false };
-const AVAILABILITY: Kind =
+pub const AVAILABILITY: Kind =
     Kind { name: "availability", priority: 1, tasks: 2, run_ms: 200, per_s: 100.0, fails: false };
-const PHOTO: Kind =
+pub const PHOTO: Kind =
     Kind { name: "photo", priority: 2, tasks: 4, run_ms: 900, per_s: 6.25, fails: false };
 
-const HOPELESS: Kind =
+pub const HOPELESS: Kind =
     Kind { name: "hopeless", priority: 1, tasks: 1, run_ms: 5, per_s: 20.0, fails: true };
 
 #[derive(Clone, Copy, PartialEq)]
-enum Health {
+pub enum Health {
     Sound,
     Failing,
     Stuck,
 }
 
-struct ModelRun {
-    ends_at: BootTime,
-    order: OrderNumber,
-    report: Report,
-    has_failed: bool,
+pub struct ModelRun {
+    pub ends_at: BootTime,
+    pub order: OrderNumber,
+    pub report: Report,
+    pub has_failed: bool,
 }
 
-struct ModelTarget {
-    name: String,
-    health: Health,
+pub struct ModelTarget {
+    pub name: String,
+    pub health: Health,
     /// What its agent makes of its failures.
-    judged: health::Health,
-    running: Vec<ModelRun>,
-    reports: Vec<Report>,
-    last_report: u64,
-    orders_seen: u64,
-    free_cpu_millis: u64,
-    released_cpu_millis: u64,
-    starts: u64,
+    pub judged: health::Health,
+    pub running: Vec<ModelRun>,
+    pub reports: Vec<Report>,
+    pub last_report: u64,
+    pub orders_seen: u64,
+    pub free_cpu_millis: u64,
+    pub released_cpu_millis: u64,
+    pub starts: u64,
 }
 
 impl ModelTarget {
-    fn new(number: usize) -> Self {
+    pub fn new(number: usize) -> Self {
         Self {
             name: format!("agent-{number:02}"),
             health: Health::Sound,
@@ -92,7 +88,7 @@
         }
     }
 
-    fn order(&mut self, now: BootTime, number: OrderNumber, action: Action, kind: Kind) {
+    pub fn order(&mut self, now: BootTime, number: OrderNumber, action: Action, kind: Kind) {
         self.orders_seen = number;
         match action {
             Action::Start(start) => {
@@ -136,13 +132,13 @@
         }
     }
 
-    fn report(&mut self, mut report: Report) {
+    pub fn report(&mut self, mut report: Report) {
         self.last_report += 1;
         report.number = self.last_report;
         self.reports.push(report);
     }
 
-    fn end_due(&mut self, now: BootTime) {
+    pub fn end_due(&mut self, now: BootTime) {
         let (due, running) = self.running.drain(..).partition(|run| run.ends_at <= now);
         self.running = running;
         let due: Vec<ModelRun> = due;
@@ -160,7 +156,7 @@
         }
     }
 
-    fn frame(&mut self, now: BootTime, is_first: bool) -> AgentFrame {
+    pub fn frame(&mut self, now: BootTime, is_first: bool) -> AgentFrame {
         let size = |cpu_millis| Size { cpu_millis, memory_mb: 1_000_000, accelerators: 0 };
         let profile = Profile {
             service: "service".to_owned(),
@@ -187,33 +183,33 @@
 }
 
 #[derive(Clone, Copy, Default, Debug)]
-struct Tally {
-    arrived: u64,
-    in_time: u64,
-    refused: u64,
-    refused_late: u64,
-    other: u64,
+pub struct Tally {
+    pub arrived: u64,
+    pub in_time: u64,
+    pub refused: u64,
+    pub refused_late: u64,
+    pub other: u64,
 }
 
 impl Tally {
-    fn in_time_share(&self) -> f64 {
+    pub fn in_time_share(&self) -> f64 {
         self.in_time as f64 / self.arrived.max(1) as f64
     }
 }
 
-struct Site {
-    entry: Entry,
-    targets: Vec<ModelTarget>,
-    now: BootTime,
-    kinds: Vec<Kind>,
-    due: Vec<f64>,
+pub struct Site {
+    pub entry: Entry,
+    pub targets: Vec<ModelTarget>,
+    pub now: BootTime,
+    pub kinds: Vec<Kind>,
+    pub due: Vec<f64>,
     open: BTreeMap<CallerId, (usize, BootTime)>,
-    tallies: Vec<Tally>,
-    last_caller: CallerId,
+    pub tallies: Vec<Tally>,
+    pub last_caller: CallerId,
 }
 
 impl Site {
-    fn new(targets: usize, kinds: &[Kind]) -> Self {
+    pub fn new(targets: usize, kinds: &[Kind]) -> Self {
         let mut entry = Entry::new(timing(), "a".to_owned(), 3);
         let routes = kinds.iter().map(route_of).collect();
         entry.configure(RoutingTable::new(1, routes, None));
@@ -235,7 +231,7 @@
     }
 
     /// Lets time pass under a load of `factor` times the usual one.
-    fn run(&mut self, length: Duration, factor: f64) {
+    pub fn run(&mut self, length: Duration, factor: f64) {
         let end = self.now + length;
         while self.now < end {
             self.now += STEP;
@@ -255,11 +251,11 @@
     }
 
     /// Lets the last jobs end.
-    fn drain(&mut self) {
+    pub fn drain(&mut self) {
         self.run(Duration::from_secs(3), 0.0);
     }
 
-    fn submit(&mut self, kind: usize) {
+    pub fn submit(&mut self, kind: usize) {
         self.last_caller += 1;
         let (caller, it) = (self.last_caller, self.kinds[kind]);
         let request = job(&format!("job-{caller}"), it.tasks, TASK_CPU_MILLIS, ms(it.run_ms));
@@ -275,7 +271,7 @@
         self.collect();
     }
 
-    fn step_targets(&mut self) {
+    pub fn step_targets(&mut self) {
         let is_heartbeat = self.now.as_millis().is_multiple_of(50);
         for (index, target) in self.targets.iter_mut().enumerate() {
             target.end_due(self.now);
@@ -286,7 +282,7 @@
         }
     }
 
-    fn collect(&mut self) {
+    pub fn collect(&mut self) {
         for (link, frame) in self.entry.frames(self.now) {
             for order in frame.orders {
                 let kind = match &order.action {
@@ -313,112 +309,17 @@
         }
     }
 
-    fn kind_of(&self, job: &str) -> Kind {
+    pub fn kind_of(&self, job: &str) -> Kind {
         let caller = job.trim_start_matches("job-").parse().unwrap_or_default();
         self.open.get(&caller).map_or(self.kinds[0], |(kind, _)| self.kinds[*kind])
     }
 
-    fn tally(&self, kind: Kind) -> Tally {
+    pub fn tally(&self, kind: Kind) -> Tally {
         let index = self.kinds.iter().position(|it| it.name == kind.name);
         self.tallies[index.expect("the kind is part of the load")]
     }
 }
 
-fn route_of(kind: &Kind) -> Route {
+pub fn route_of(kind: &Kind) -> Route {
     Route { priority: kind.priority, ..route(kind.name) }
 }
-
-const ALL: [Kind; 3] = [PRICE_CHECK, AVAILABILITY, PHOTO];
-
-#[test]
-fn usual_load_is_served_in_time() {
-    let mut site = Site::new(12, &ALL);
-    site.run(Duration::from_secs(10), 1.0);
-    site.drain();
-    for kind in ALL {
-        let tally = site.tally(kind);
-        assert!(tally.in_time_share() > 0.95, "{}: {tally:?}", kind.name);
-    }
-}
-
-#[test]
-fn overload_starves_no_kind() {
-    let mut site = Site::new(12, &ALL);
-    site.run(Duration::from_secs(2), 1.0);
-    site.run(Duration::from_secs(8), 1.9);
-    site.drain();
-    for kind in ALL {
-        let tally = site.tally(kind);
-        assert!(tally.in_time_share() > 0.5, "{}: {tally:?}", kind.name);
-    }
-}
-
-#[test]
-fn short_urgent_jobs_are_not_the_first_to_be_refused_beside_long_work() {
-    let mut site = Site::new(12, &ALL);
-    site.run(Duration::from_secs(2), 1.0);
-    site.run(Duration::from_secs(8), 1.5);
-    site.drain();
-    let urgent = site.tally(PRICE_CHECK).in_time_share();
-    let common = site.tally(AVAILABILITY).in_time_share();
-    assert!(urgent >= common, "urgent {urgent}, common {common}");
-}
-
-#[test]
-fn refusals_under_overload_come_on_arrival() {
-    let mut site = Site::new(12, &ALL);
-    site.run(Duration::from_secs(10), 2.0);
-    site.drain();
-    let refused: u64 = ALL.iter().map(|kind| site.tally(*kind).refused).sum();
-    let late: u64 = ALL.iter().map(|kind| site.tally(*kind).refused_late).sum();
-    println!("{late} of {refused} refusals came late");
-    assert!(refused > 100, "{refused} refused");
-    assert!(late * 5 <= refused, "{late} of {refused} refusals came late");
-}
-
-#[test]
-fn a_target_that_fails_everything_costs_few_jobs() {
-    let mut site = Site::new(12, &ALL);
-    site.run(Duration::from_secs(1), 1.0);
-    site.targets[0].health = Health::Failing;
-    site.run(Duration::from_secs(4), 1.0);
-    site.drain();
-    let share = site.tallies.iter().map(|it| it.in_time).sum::<u64>() as f64
-        / site.tallies.iter().map(|it| it.arrived).sum::<u64>() as f64;
-    assert!(share > 0.9, "{share} in time");
-}
-
-#[test]
-fn tasks_at_a_target_that_stands_still_are_run_elsewhere() {
-    let mut site = Site::new(12, &ALL);
-    site.run(Duration::from_secs(1), 1.0);
-    site.targets[0].health = Health::Stuck;
-    site.run(Duration::from_millis(200), 1.0);
-    site.targets[0].health = Health::Sound;
-    site.run(Duration::from_secs(8), 1.0);
-    site.drain();
-    let open_at_target = site.targets[0].running.iter().filter(|run| run.ends_at == BootTime::MAX);
-    assert_eq!(open_at_target.count(), 0);
-    assert!(site.tallies.iter().all(|tally| tally.other <= 20), "{:?}", site.tallies);
-}
-
-#[test]
-fn an_entry_of_a_large_site_uses_a_bounded_number_of_targets() {
-    let mut site = Site::new(80, &ALL);
-    site.run(Duration::from_secs(3), 0.5);
-    site.drain();
-    let used = site.targets.iter().filter(|target| target.starts > 0).count();
-    assert!((12..=24).contains(&used), "{used} targets used");
-    assert!(site.tally(PRICE_CHECK).in_time_share() > 0.95);
-}
-
-/// Two of three jobs fail wherever they run, in a burst beside little other work.
-#[test]
-fn hopeless_jobs_leave_sound_targets_in_use() {
-    let few = Kind { per_s: 10.0, ..AVAILABILITY };
-    let mut site = Site::new(4, &[few, HOPELESS]);
-    site.run(Duration::from_secs(10), 1.0);
-    site.drain();
-    let tally = site.tally(few);
-    assert!(tally.in_time_share() > 0.8, "{tally:?}");
-}
