--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -16,8 +16,8 @@
 
 /// Tasks that may find no room before the rest is taken to find none either: a smaller one may fit.
 const MOST_MISSES: usize = 3;
-/// Multiple of its expected time after which a run is taken as stuck: estimates are often off by
-/// two, and targets differ.
+/// Multiple of its expected time after which a run is taken as stuck, unless its route's tasks are
+/// known to vary more: estimates are often off by two, and targets differ.
 const STUCK_FACTOR: f64 = 3.0;
 /// Runs of one task that are stopped for being stuck; the next one is let run.
 const MOST_STUCK_RUNS: u32 = 2;
@@ -138,7 +138,8 @@
         let expected = self.run_times.expected(&job.route.name, step.estimate).max(step.estimate);
         // Each time it is more likely that the task itself is long.
         let factor = STUCK_FACTOR * f64::from(1 << task.stuck_runs);
-        let limit = expected.mul_f64(factor) + STUCK_MARGIN;
+        let longest = self.run_times.longest(&job.route.name, step.estimate).unwrap_or_default();
+        let limit = expected.mul_f64(factor).max(longest) + STUCK_MARGIN;
         (now.saturating_sub(*since) > limit).then_some((agent, *order, limit))
     }
 
--- a/crates/bulrushlatch_dispatch/tests/load/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/main.rs
@@ -106,3 +106,16 @@
     let tally = site.tally(few);
     assert!(tally.in_time_share() > 0.8, "{tally:?}");
 }
+
+/// Callers whose estimates are off by factors of ten to a hundred.
+#[test]
+fn wild_estimates_have_no_run_stopped_as_stuck() {
+    let mut site = Site::new(12, &ALL);
+    site.estimate_factors = vec![0.01, 30.0, 1.0, 0.1, 10.0];
+    site.run(Duration::from_secs(3), 1.0);
+    let learned = site.entry.counters().stuck_runs;
+    site.run(Duration::from_secs(8), 1.0);
+    site.drain();
+    let stuck = site.entry.counters().stuck_runs - learned;
+    assert!(stuck < 10, "{stuck} runs stopped, {learned} while learning");
+}
