Bound learned run times

Cause: reading the change again, the exponential of a learned logarithm could exceed what a duration can hold, and the process would end: a route whose runs take from nothing to years. Times are bounded at a million seconds. Tests of what is learned (four), the one of values without bounds red first.

--- a/crates/bulrushlatch_dispatch/src/entry/run_times.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/run_times.rs
@@ -17,6 +17,8 @@
 const DEVIATIONS: f64 = 3.0;
 /// Shortest run time that is told from others, in ms: clocks and messages are not finer.
 const SHORTEST_MS: f64 = 0.5;
+/// Longest run time that is told from others: no caller waits for so long.
+const LONGEST: Duration = Duration::from_secs(1_000_000);
 /// Most routes that are remembered; the rest is taken as estimated.
 const MOST_ROUTES: usize = 4_000;
 
@@ -103,5 +105,5 @@
 }
 
 fn from_log_ms(log: f64) -> Duration {
-    Duration::from_secs_f64(log.exp() / 1e3)
+    Duration::from_secs_f64((log.exp() / 1e3).min(LONGEST.as_secs_f64()))
 }
