Agent: survive lost answers of a target

- An unanswered start is sent again with the same attempt, which the target starts at most once.
Any answer but a confirmation then needs a stop, since the first order may still be carried out.
- A listed run counts as started.
Calls held back are known not to have been sent.

Ruled out: late starts. All runs of the late jobs had started within 10 ms.

--- a/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
@@ -24,6 +24,9 @@
 /// that too.
 const MAX_RAISED_ATTEMPT: u32 = 64;
 
+/// Start orders of one attempt that may go unanswered; after that, the run is stopped.
+const MAX_UNANSWERED_STARTS: u32 = 3;
+
 /// Content of a start order for the target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StartRequest {
@@ -84,6 +87,19 @@
                 let (attempt, entry) = (run.attempt, &run.owner);
                 tracing::info!(%task, attempt, %entry, "run started");
             }
+            StartReply::NoAnswer => self.handle_unanswered_start(now, task),
+            // An earlier order of this attempt may have started a run that is over, or may still be
+            // carried out. Only a stop and the status after it tell.
+            StartReply::OldAttempt
+            | StartReply::Rejected
+            | StartReply::NoRoom
+            | StartReply::Late
+            | StartReply::Unhealthy
+            | StartReply::Unsent
+                if run.unanswered_starts > 0 =>
+            {
+                self.request_stop(now, task);
+            }
             StartReply::OldAttempt if run.attempt < MAX_RAISED_ATTEMPT && !run.is_stopping() => {
                 run.attempt += ATTEMPT_STEP;
                 self.target_orders.push(TargetOrder::Start(task.clone()));
@@ -97,17 +113,34 @@
                 }
                 self.finish(now, task, RunOutcome::NotStarted(Obstacle::NoCapacity));
             }
-            StartReply::Late | StartReply::OtherTarget => {
+            StartReply::Late | StartReply::OtherTarget | StartReply::Unsent => {
                 self.finish(now, task, RunOutcome::NotStarted(Obstacle::Unavailable));
             }
             StartReply::Unhealthy => {
                 self.record_failure(now, task);
                 self.finish(now, task, RunOutcome::NotStarted(Obstacle::Unavailable));
             }
-            StartReply::NoAnswer => {
-                tracing::info!(%task, attempt = start.attempt, "start order unanswered: stopping the run");
-                self.request_stop(now, task);
-            }
+        }
+    }
+
+    /// Sends an unanswered start order again, unless the run is known to have started. The target
+    /// starts one attempt at most once, however often it is ordered.
+    fn handle_unanswered_start(&mut self, now: BootTime, task: &TaskKey) {
+        if let Some(target) = &mut self.target {
+            target.record_no_answer(now);
+        }
+        let Some(run) = self.runs.get_mut(task) else { return };
+        if run.started_at.is_some() || run.is_stopping() {
+            return;
+        }
+        run.unanswered_starts += 1;
+        let (attempt, unanswered) = (run.attempt, run.unanswered_starts);
+        if unanswered < MAX_UNANSWERED_STARTS {
+            tracing::info!(%task, attempt, unanswered, "start order unanswered: sending it again");
+            self.target_orders.push(TargetOrder::Start(task.clone()));
+        } else {
+            tracing::info!(%task, attempt, unanswered, "start order unanswered: stopping the run");
+            self.request_stop(now, task);
         }
     }
 
@@ -149,6 +182,7 @@
             self.apply_end(now, ended);
         }
         for running in &status.running {
+            self.confirm_start(now, running);
             self.stop_if_unknown(now, running);
         }
         self.finish_unlisted(now, polled_at, status);
@@ -184,6 +218,14 @@
         }
     }
 
+    /// Records the start of a tracked run that the target lists as running.
+    fn confirm_start(&mut self, now: BootTime, running: &RunningRun) {
+        let run = running.task.as_ref().and_then(|task| self.runs.get_mut(task));
+        if let Some(run) = run.filter(|run| run.attempt == running.attempt) {
+            run.started_at.get_or_insert(now);
+        }
+    }
+
     fn stop_if_unknown(&mut self, now: BootTime, running: &RunningRun) {
         let run = running.task.as_ref().and_then(|task| self.runs.get(task));
         if run.is_some_and(|run| run.attempt == running.attempt) {
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -14,7 +14,10 @@
 pub mod session;
 pub mod target;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
     clock::BootTime,
@@ -208,10 +211,20 @@
         }
         match error {
             PollError::Absent | PollError::OtherTarget => self.retire_target(now),
-            PollError::NoAnswer => {}
+            PollError::NoAnswer => {
+                if let Some(target) = &mut self.target {
+                    target.record_no_answer(now);
+                }
+            }
         }
     }
 
+    /// Returns the time for which the target may hold the next status poll open; zero without a
+    /// target.
+    pub fn poll_wait(&self, now: BootTime) -> Duration {
+        self.target.as_ref().map_or(Duration::ZERO, |target| target.poll_wait(now))
+    }
+
     /// Ends the present incarnation of the target and reports its runs as lost.
     fn retire_target(&mut self, now: BootTime) {
         let Some(target) = self.target.take() else { return };
@@ -292,11 +305,7 @@
 
     /// Returns the frames that are due. `min_interval` is the shortest time between frames on one
     /// link; a report, an unsent profile or a changed `accepts` is sent at once.
-    pub fn frames(
-        &mut self,
-        now: BootTime,
-        min_interval: std::time::Duration,
-    ) -> Vec<(LinkId, AgentFrame)> {
+    pub fn frames(&mut self, now: BootTime, min_interval: Duration) -> Vec<(LinkId, AgentFrame)> {
         let offer = self.offer(now);
         let profile = self.profile();
         let timing = self.timing;
--- a/crates/bulrushlatch_dispatch/src/agent/orders.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/orders.rs
@@ -63,6 +63,7 @@
             has_failed: start.has_failed,
             start_sent_at: now,
             started_at: None,
+            unanswered_starts: 0,
             stop_requested_at: None,
             stop_sent_at: None,
             stop_answered_at: None,
--- a/crates/bulrushlatch_dispatch/src/agent/run.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/run.rs
@@ -28,8 +28,11 @@
     pub has_failed: bool,
     /// When the start order was sent to the target; until then, when the agent received it.
     pub start_sent_at: BootTime,
-    /// When the target confirmed the start, if it did.
+    /// When the target confirmed the start or listed the run as running, if it did.
     pub started_at: Option<BootTime>,
+    /// Number of start orders of this attempt that got no answer. If any, the run may have started,
+    /// and may have ended.
+    pub unanswered_starts: u32,
     /// When a stop was first requested.
     pub stop_requested_at: Option<BootTime>,
     /// When the last stop order was sent to the target.
--- a/crates/bulrushlatch_dispatch/src/agent/target.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/target.rs
@@ -8,6 +8,14 @@
     size::Size,
 };
 
+/// Time for which a target may hold a status poll open until a run ends: well below the lease and
+/// the time after which the target counts as silent.
+const POLL_WAIT: Duration = Duration::from_millis(100);
+/// The same while answers get lost: the ends in a lost answer are learned from the next poll.
+const SHORT_POLL_WAIT: Duration = Duration::from_millis(10);
+/// Time after an unanswered call for which further answers are expected to get lost.
+const LOSS_MEMORY: Duration = Duration::from_secs(2);
+
 /// Time of one target's clock, in milliseconds.
 pub type TargetTimeMs = u64;
 /// Id of one incarnation of a target.
@@ -51,6 +59,8 @@
     Rejected,
     /// Another incarnation of the target answered.
     OtherTarget,
+    /// The order did not reach the target.
+    Unsent,
     /// No answer came: the order may be carried out now, later or never.
     NoAnswer,
 }
@@ -125,6 +135,8 @@
     pub lease_ends_at: BootTime,
     /// When it last answered a call.
     pub answered_at: Option<BootTime>,
+    /// When a call to it last went unanswered.
+    pub unanswered_at: Option<BootTime>,
     /// Highest number of an ended run that was processed.
     pub ends_seen: u64,
     /// Runs listed by the target, but not tracked under that task and attempt, with the time of the
@@ -142,6 +154,7 @@
             announcement,
             lease_ends_at: BootTime::ZERO,
             answered_at: None,
+            unanswered_at: None,
             ends_seen: 0,
             unknown_runs: BTreeMap::new(),
             full_until: BootTime::ZERO,
@@ -160,6 +173,17 @@
         self.clock_ms + lease.as_millis() as u64
     }
 
+    /// Returns the time for which the target may hold the next status poll open.
+    pub fn poll_wait(&self, now: BootTime) -> Duration {
+        let is_losing = self.unanswered_at.is_some_and(|at| now.saturating_sub(at) < LOSS_MEMORY);
+        if is_losing { SHORT_POLL_WAIT } else { POLL_WAIT }
+    }
+
+    /// Records that a call to the target went unanswered.
+    pub fn record_no_answer(&mut self, now: BootTime) {
+        self.unanswered_at = Some(now);
+    }
+
     /// Records that the target answered a call, with the target's clock.
     pub fn record_answer(&mut self, now: BootTime, clock_ms: TargetTimeMs) {
         self.clock_ms = self.clock_ms.max(clock_ms);
--- a/crates/bulrushlatch_dispatch/tests/agent/fixture.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/fixture.rs
@@ -54,6 +54,8 @@
     pub now: BootTime,
     pub last_order: u64,
     pub frames: Vec<AgentFrame>,
+    /// Orders to the target that [`Self::leave_starts_unanswered`] took and passed over.
+    untaken: Vec<TargetOrder>,
 }
 
 impl AgentFixture {
@@ -61,7 +63,8 @@
         let mut agent = Agent::new(timing());
         agent.handle_announcement(announcement("target", 1));
         agent.link_up(BOOT, entry(), 1);
-        let mut fixture = Self { agent, now: BOOT, last_order: 0, frames: Vec::new() };
+        let mut fixture =
+            Self { agent, now: BOOT, last_order: 0, frames: Vec::new(), untaken: Vec::new() };
         fixture.poll(&TargetStatus::default());
         fixture.send_orders(Vec::new());
         fixture
@@ -122,9 +125,28 @@
         self.agent.handle_start_reply(self.now, start, clock_ms, reply);
     }
 
+    /// Leaves the start that was ordered, and each time that it is sent again, without an answer.
+    pub fn leave_starts_unanswered(&mut self) {
+        loop {
+            let orders = self.agent.take_orders();
+            let is_start = |order: &TargetOrder| matches!(order, TargetOrder::Start(_));
+            if !orders.iter().any(is_start) {
+                self.untaken = orders;
+                return;
+            }
+            for order in orders {
+                let TargetOrder::Start(task) = order else { continue };
+                if let Some(start) = self.agent.prepare_start(self.now, &task) {
+                    self.reply_to_start(&start, &StartReply::NoAnswer);
+                }
+            }
+        }
+    }
+
     /// Takes all orders to the target and returns the stop orders; start orders are discarded.
     pub fn take_stops(&mut self) -> Vec<bulrushlatch_dispatch::agent::StopOrder> {
-        let orders = self.agent.take_orders();
+        let mut orders = std::mem::take(&mut self.untaken);
+        orders.extend(self.agent.take_orders());
         let stops = orders.into_iter().filter_map(|order| match order {
             TargetOrder::Stop(stop) => Some(stop),
             TargetOrder::Start(_) => None,
--- a/crates/bulrushlatch_node/src/agent/target_driver.rs
+++ b/crates/bulrushlatch_node/src/agent/target_driver.rs
@@ -14,9 +14,6 @@
 use super::AgentProcess;
 use crate::interface::{AnnouncementInterface, LeasedTarget, SiteStore, StatusPoll};
 
-/// Time for which the target may hold a status poll open until a run ends: well below the lease and
-/// the time after which the target counts as silent.
-const POLL_WAIT: Duration = Duration::from_millis(100);
 /// Pause after a failed status poll. Doubles with each further failure, since each poll may open a
 /// connection.
 const RETRY_PAUSE: Duration = Duration::from_millis(5);
@@ -55,7 +52,10 @@
         loop {
             if self.core.borrow().target_id().is_none() {
                 self.target_found.notified().await;
-            } else if self.poll_target_once(POLL_WAIT).await {
+                continue;
+            }
+            let wait = self.core.borrow().poll_wait(self.clock.now());
+            if self.poll_target_once(wait).await {
                 pause = RETRY_PAUSE;
             } else {
                 tokio::time::sleep(pause).await;
--- a/crates/bulrushlatch_node/src/http_client.rs
+++ b/crates/bulrushlatch_node/src/http_client.rs
@@ -1,12 +1,19 @@
 //! HTTP client for one address that reuses its connections.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, body::Bytes, client::conn::http1, header::HOST};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time};
 
+use crate::call_gate::CallGate;
+
 /// Maximum number of idle connections that are kept, about the number of simultaneous calls.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 /// Time-out for opening a connection, well above a round trip within a region.
@@ -29,7 +36,7 @@
 pub enum CallError {
     /// The connection was refused; the call was not carried out.
     NotListening,
-    /// No connection could be opened; the call was not carried out.
+    /// No connection could be opened, or the call was held back; it was not carried out.
     Unreachable,
     /// The connection broke or the call timed out; the call may have been carried out.
     NoResponse,
@@ -40,12 +47,20 @@
 pub struct HttpClient {
     address: SocketAddr,
     idle: Rc<RefCell<Vec<Connection>>>,
+    /// Limits the calls after one that went unanswered.
+    gate: Option<Rc<CallGate>>,
 }
 
 impl HttpClient {
     /// Returns a client for `address`, without opening a connection.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: Rc::default() }
+        Self { address, idle: Rc::default(), gate: None }
+    }
+
+    /// Returns a client like [`Self::new`] that opens few connections to a server that leaves calls
+    /// unanswered.
+    pub fn with_gate(address: SocketAddr) -> Self {
+        Self { gate: Some(Rc::default()), ..Self::new(address) }
     }
 
     /// Returns the address that the client calls.
@@ -57,15 +72,34 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if no connection can be opened, the connection breaks, or the response does
-    /// not arrive within `timeout`.
+    /// Returns an error if no connection can be opened, the connection breaks, the response does not
+    /// arrive within `timeout`, or the call is not let through within it.
     pub async fn call(
         &self,
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<HttpReply, CallError> {
-        let result = time::timeout(timeout, self.call_without_timeout(request)).await;
-        result.unwrap_or(Err(CallError::NoResponse))
+        let Some(gate) = &self.gate else {
+            let result = time::timeout(timeout, self.call_without_timeout(request)).await;
+            return result.unwrap_or(Err(CallError::NoResponse));
+        };
+        let is_let_through = Cell::new(false);
+        let call = async {
+            let _permit = gate.wait().await;
+            is_let_through.set(true);
+            self.call_without_timeout(request).await
+        };
+        let result = match time::timeout(timeout, call).await {
+            Ok(result) => result,
+            Err(_) if is_let_through.get() => Err(CallError::NoResponse),
+            Err(_) => return Err(CallError::Unreachable),
+        };
+        match result {
+            Ok(_) => gate.record_answer(),
+            Err(CallError::NotListening) => {}
+            Err(CallError::Unreachable | CallError::NoResponse) => gate.record_no_answer(),
+        }
+        result
     }
 
     async fn call_without_timeout(
--- a/crates/bulrushlatch_node/src/lib.rs
+++ b/crates/bulrushlatch_node/src/lib.rs
@@ -4,11 +4,13 @@
 //! - [`agent`]: process that runs tasks at one target
 //! - [`interface`]: traits that a platform's adapter implements
 //! - [`http_client`], [`http_server`], [`link`], [`link_manager`]: connections
+//! - [`call_gate`]: limits the calls to a server that leaves calls unanswered
 //! - [`one_thread`]: single-threaded runtime of a process
 //! - [`settings`]: flags and environment variables, validated
 
 pub mod agent;
 pub mod boot_clock;
+pub mod call_gate;
 pub mod entry;
 pub mod http_client;
 pub mod http_server;
