Entry: late jobs behind those in time, and seconds after a restart

Entries refused what they had no released CPU for yet, what came before the first link, and what missed its objective by a few ms.

- Agents try links every 40 ms at the longest while none is open and for a second after one has opened, and give up a connection after 100 ms in place of 250.
- For a second after its start, an entry keeps jobs waiting while it has found no target.
- The release rate comes from what runs and how long it is expected to take, in place of what ended in the last 800 ms, which is nothing in a new process.
- A job that cannot be in time waits in a class of its own, behind all that can, as long as its answer comes within three objectives.
It starts as a whole.
How much may wait so is learned from what became of such jobs, and nothing may wait if there was no room for it lately.

Of the new tests of load, four fail on the code before.

--- a/crates/bulrushlatch_dispatch/src/entry/admission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/admission.rs
@@ -30,6 +30,10 @@
     pub cpu_millis: u64,
     /// Longest wait for a start that still meets the latency objective.
     pub max_wait: Duration,
+    /// Longest wait for a start after which the answer is late, but still of use.
+    pub max_late_wait: Duration,
+    /// Whether the answer will be late even without a wait.
+    pub is_late: bool,
 }
 
 /// Capacity available to a job.
@@ -43,6 +47,12 @@
     pub released_cpu_millis_per_s: f64,
     /// The route's share of that part under overload.
     pub route_share: f64,
+    /// CPU that all waiting tasks need, in thousandths of a core.
+    pub waiting_cpu_millis: u64,
+    /// CPU that waiting tasks of late jobs need, in thousandths of a core.
+    pub late_cpu_millis: u64,
+    /// Limit of `late_cpu_millis`.
+    pub max_late_cpu_millis: u64,
 }
 
 /// Decision on a job.
@@ -53,6 +63,11 @@
         /// Expected wait until all its initial tasks have started.
         wait: Duration,
     },
+    /// The job is accepted, but will be late.
+    AcceptLate {
+        /// Expected wait if it were not placed after the jobs that can be in time.
+        wait: Duration,
+    },
     /// The job is refused.
     Refuse {
         /// Expected wait, which is too long.
@@ -63,13 +78,24 @@
 /// Decides whether to accept a job from what is known when it arrives.
 pub fn decide(demand: &Demand, supply: &Supply) -> Admission {
     let wait = expected_wait(demand, supply);
-    if wait <= demand.max_wait.mul_f64(WAIT_SHARE) {
+    if !demand.is_late && wait <= demand.max_wait.mul_f64(WAIT_SHARE) {
         Admission::Accept { wait }
+    } else if fits_late(demand, supply) {
+        Admission::AcceptLate { wait }
     } else {
         Admission::Refuse { wait }
     }
 }
 
+/// Returns whether a job may wait in the late class: there is room in it, and the job could start
+/// early enough even if everything that waits were to go first.
+fn fits_late(demand: &Demand, supply: &Supply) -> bool {
+    let late = supply.late_cpu_millis + demand.cpu_millis;
+    let ahead = (supply.waiting_cpu_millis + demand.cpu_millis) as f64;
+    let seconds = ahead / supply.released_cpu_millis_per_s.max(1.0);
+    late <= supply.max_late_cpu_millis && seconds <= demand.max_late_wait.as_secs_f64() * WAIT_SHARE
+}
+
 /// Returns the expected time until all initial tasks of a job have started, at most
 /// `MAX_RETRY_DELAY`.
 ///
--- a/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -1,10 +1,13 @@
 //! What an entry knows of one incarnation of an agent.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use crate::{
     clock::BootTime,
-    frame::{Action, AgentFrame, EntryFrame, Offer, Order, Profile},
+    frame::{Action, AgentFrame, EntryFrame, Offer, Order, Profile, StartOrder},
     ids::{JobId, LinkId, OrderNumber, ReportNumber, TaskKey},
     size::Size,
     timing::Timing,
@@ -20,6 +23,17 @@
     action: Action,
 }
 
+/// A run that this entry has ordered and that is not known to be over.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderedRun {
+    /// Number of the start order.
+    pub order: OrderNumber,
+    /// CPU that the task occupies, in thousandths of a core.
+    pub cpu_millis: u64,
+    /// Expected run time.
+    pub run_time: Duration,
+}
+
 /// One incarnation of an agent, as this entry sees it.
 #[derive(Debug)]
 pub struct AgentView {
@@ -44,8 +58,8 @@
     pending: Vec<Order>,
     unacknowledged: VecDeque<UnacknowledgedOrder>,
     sent_at: BootTime,
-    /// This entry's runs at the agent, with the number of the start order of each.
-    pub runs: BTreeMap<TaskKey, OrderNumber>,
+    /// This entry's runs at the agent.
+    pub runs: BTreeMap<TaskKey, OrderedRun>,
     /// Moving average of the ratio of actual to expected run times; 1 is average.
     pub slowness: f64,
 }
@@ -92,27 +106,19 @@
         }
     }
 
-    /// Applies a frame.
-    ///
-    /// Returns the tasks of start orders that never reached the agent, and the CPU released since
-    /// the last frame, in thousandths of a core.
-    pub fn receive(&mut self, now: BootTime, frame: &AgentFrame) -> (Vec<TaskKey>, u64) {
+    /// Applies a frame; returns the tasks of start orders that never reached the agent.
+    pub fn receive(&mut self, now: BootTime, frame: &AgentFrame) -> Vec<TaskKey> {
         while self.unacknowledged.front().is_some_and(|order| order.number <= frame.orders_seen) {
             self.unacknowledged.pop_front();
         }
         let undelivered = if self.is_synced { Vec::new() } else { self.sync() };
-        let before = self.offer.released_cpu_millis;
-        let released = match before {
-            0 => 0,
-            before => frame.offer.released_cpu_millis.saturating_sub(before),
-        };
         self.offer = frame.offer;
         if let Some(profile) = &frame.profile {
             self.profile = profile.clone();
         }
         self.received_at = now;
         self.stamp_ms = frame.stamp_ms;
-        (undelivered, released)
+        undelivered
     }
 
     /// Starts to use a new link, after its first frame has shown which orders the old link lost.
@@ -174,13 +180,19 @@
         self.runs.keys().filter(|run| run.job == *job && run.step == step).count() as u32
     }
 
+    /// Adds an order to start a task, which is expected to take `run_time`, to the next frame;
+    /// returns the order's number.
+    pub fn issue_start(&mut self, start: StartOrder, run_time: Duration) -> OrderNumber {
+        let (task, cpu_millis) = (start.task.clone(), start.size.cpu_millis);
+        let order = self.issue_order(Action::Start(start));
+        self.runs.insert(task, OrderedRun { order, cpu_millis, run_time });
+        order
+    }
+
     /// Adds an order to the next frame; returns the order's number.
     pub fn issue_order(&mut self, action: Action) -> OrderNumber {
         self.last_order += 1;
         let number = self.last_order;
-        if let Action::Start(start) = &action {
-            self.runs.insert(start.task.clone(), number);
-        }
         self.unacknowledged.push_back(UnacknowledgedOrder { number, action: action.clone() });
         self.pending.push(Order { number, action });
         number
--- a/crates/bulrushlatch_dispatch/src/entry/completion.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/completion.rs
@@ -10,7 +10,8 @@
 
 use super::{
     Entry, admission,
-    job_state::{JobState, Phase},
+    job_state::Phase,
+    waiting::{WaitClass, WaitingTask},
 };
 
 /// Attempt number from which the job is given up instead of starting the task again, for whatever
@@ -36,7 +37,7 @@
         run_time: Duration,
     ) {
         if let Some(view) = self.agents.get_mut(agent)
-            && view.runs.get(key) == Some(&order)
+            && view.runs.get(key).is_some_and(|run| run.order == order)
         {
             view.runs.remove(key);
         }
@@ -106,8 +107,9 @@
             return;
         }
         let objective_at = job.objective_at;
-        for task in job.unblock_tasks() {
-            self.waiting.insert((objective_at, task));
+        for key in job.unblock_tasks() {
+            let class = WaitClass::InTime;
+            self.waiting.insert(WaitingTask { class, due_at: objective_at, key });
         }
     }
 
@@ -122,22 +124,51 @@
             return;
         }
         task.phase = Phase::Waiting;
-        self.waiting.insert((arrived_at, key.clone()));
+        let (class, key) = (WaitClass::Restart, key.clone());
+        self.waiting.insert(WaitingTask { class, due_at: arrived_at, key });
     }
 
-    /// Gives up jobs past their deadline, and jobs that have not started and can no longer meet
-    /// their latency objective.
-    pub(super) fn give_up_late_jobs(&mut self, now: BootTime) {
-        let late = self.jobs.iter().filter(|(_, job)| {
-            now >= job.deadline_at || (!job.may_have_run() && self.misses_objective(now, job))
-        });
-        for job in late.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
-            self.give_up_job(now, &job);
+    /// Gives up jobs past their deadline, and jobs that have not started and whose answer would come
+    /// too late to be of use. Moves those that will only be late to the late class.
+    pub(super) fn end_hopeless_jobs(&mut self, now: BootTime) {
+        let mut hopeless = Vec::new();
+        let mut late = Vec::new();
+        for (id, job) in &self.jobs {
+            let answer_at = now + self.expected_critical_path(&job.route, &job.request);
+            let may_have_run = job.may_have_run();
+            if now >= job.deadline_at || (!may_have_run && answer_at >= job.useful_until) {
+                hopeless.push(id.clone());
+            } else if !may_have_run && !job.is_late() && answer_at >= job.objective_at {
+                late.push(id.clone());
+            }
+        }
+        for id in late {
+            if self.may_wait_late(now, &id) {
+                self.make_late(now, &id);
+            } else {
+                hopeless.push(id);
+            }
+        }
+        for id in hopeless {
+            if self.jobs.get(&id).is_some_and(|job| job.is_late() && !job.may_have_run()) {
+                self.late_limit.record_expiry();
+            }
+            self.give_up_job(now, &id);
         }
     }
 
-    fn misses_objective(&self, now: BootTime, job: &JobState) -> bool {
-        now + self.expected_critical_path(&job.route, &job.request) >= job.objective_at
+    /// Moves a job that has not started, and will miss its objective, to the late class.
+    fn make_late(&mut self, now: BootTime, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.class = WaitClass::Late;
+        let waited_ms = now.saturating_sub(job.arrived_at).as_millis() as u64;
+        tracing::info!(job = %id, waited_ms, "job will be late");
+        let due_at = job.useful_until.min(job.deadline_at);
+        let waiting = job.waiting_tasks();
+        self.waiting.retain(|task| task.key.job != *id);
+        for key in waiting {
+            self.waiting.insert(WaitingTask { class: WaitClass::Late, due_at, key });
+        }
     }
 
     /// Ends a job that can no longer be served: answers `Interrupted` if it may have run, and
@@ -175,7 +206,7 @@
             self.issue_stop(&key, &agent, order, false);
         }
         if has_waiting_task {
-            self.waiting.retain(|(_, task)| task.job != *id);
+            self.waiting.retain(|task| task.key.job != *id);
         }
         let Some(job) = self.jobs.remove(id) else { return };
         match answer {
--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -5,13 +5,14 @@
 use crate::{
     clock::BootTime,
     frame::{Action, StartOrder},
-    ids::{OrderNumber, ProcessId, TaskKey},
+    ids::{JobId, OrderNumber, ProcessId, TaskKey},
 };
 
 use super::{
     Entry, admission,
     job_state::{JobState, Phase},
     placement::{self, Candidate},
+    waiting::{WaitClass, WaitingTask},
 };
 
 /// Tasks without a fitting agent after which a pass over the queue ends. It is more than one
@@ -29,13 +30,13 @@
 impl Entry {
     /// Places waiting tasks in the order of the queue until [`MAX_MISSES`] of them find no agent.
     pub(super) fn place_waiting_tasks(&mut self, now: BootTime) {
-        let mut after: Option<(BootTime, TaskKey)> = None;
+        let mut after: Option<WaitingTask> = None;
         let mut misses = 0;
         while misses < MAX_MISSES {
             let from = after.map_or(Bound::Unbounded, Bound::Excluded);
             let next = self.waiting.range((from, Bound::Unbounded)).next().cloned();
             let Some(next) = next else { return };
-            if self.place_task(now, &next.1) {
+            if self.place_task(now, &next.key) {
                 self.waiting.remove(&next);
             } else {
                 misses += 1;
@@ -52,17 +53,36 @@
         let Some(job) = self.jobs.get_mut(&key.job) else { return true };
         let Some(step) = job.request.steps.get(key.step as usize) else { return true };
         let (size, payload) = (step.size, job.request.payload.clone());
+        let expected = self.run_times.expected(&job.route.name, step.estimate);
         let Some(task) = job.task_mut(key) else { return true };
         task.attempt += 1;
         let (attempt, has_failed) = (task.attempt, task.failed_runs > 0);
         let start = StartOrder { task: key.clone(), attempt, payload, size, has_failed };
         let Some(view) = self.agents.get_mut(&agent) else { return false };
-        let order = view.issue_order(Action::Start(start));
+        let order = view.issue_start(start, expected);
         task.phase = Phase::Placed { agent, order, placed_at: now, is_stopping: false };
         self.counters.start_orders += 1;
+        if job.is_late() {
+            self.begin_late_job(now, &key.job);
+        }
         true
     }
 
+    /// Moves the other waiting tasks of a late job of which a task was placed to the front of those
+    /// in time: what has started is to end soon.
+    fn begin_late_job(&mut self, now: BootTime, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.class = WaitClass::InTime;
+        let cpu_millis = job.request.initial_demand().cpu_millis;
+        let total = self.agents.values().map(|view| view.profile.total.cpu_millis).sum();
+        self.late_limit.record_start(cpu_millis, total);
+        let waiting = job.waiting_tasks();
+        self.waiting.retain(|task| task.key.job != *id);
+        for key in waiting {
+            self.waiting.insert(WaitingTask { class: WaitClass::InTime, due_at: now, key });
+        }
+    }
+
     /// Returns the agent at which to start a task, if any has capacity.
     fn select_agent(&mut self, now: BootTime, key: &TaskKey) -> Option<ProcessId> {
         let job = self.jobs.get(&key.job)?;
@@ -90,9 +110,15 @@
         // holds.
         let may_use_reserve = job.has_run || self.is_most_urgent(&job.route);
         let reserve = admission::reserve_cpu_millis(total, may_use_reserve);
+        // A late job starts as a whole, so that it does not wait half started.
+        let needed = if job.is_late() {
+            job.request.initial_demand().cpu_millis
+        } else {
+            step.size.cpu_millis
+        };
         // The reserve does not apply while all targets are idle: otherwise a task that needs more
         // than the rest would never start.
-        if free < total && free < reserve + step.size.cpu_millis {
+        if free < total && free < reserve + needed {
             return None;
         }
         let is_avoided = |candidate: &Candidate<'_>| task.avoided_agents.contains(candidate.agent);
--- a/crates/bulrushlatch_dispatch/src/entry/job_state.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/job_state.rs
@@ -9,6 +9,8 @@
     routing::Route,
 };
 
+use super::waiting::WaitClass;
+
 /// An open job.
 #[derive(Debug)]
 pub struct JobState {
@@ -24,6 +26,10 @@
     pub deadline_at: BootTime,
     /// When an answer is due by the route's latency objective.
     pub objective_at: BootTime,
+    /// Time after which an answer is of no use.
+    pub useful_until: BootTime,
+    /// Class of its tasks before any has started.
+    pub class: WaitClass,
     /// States of the tasks, by step and index.
     pub steps: Vec<Vec<TaskState>>,
     /// Whether a run of any of its tasks ended with another outcome than `NotStarted`; that run may
@@ -81,6 +87,11 @@
         self.steps.get_mut(key.step as usize)?.get_mut(key.index as usize)
     }
 
+    /// Returns whether it has not started and will miss its objective.
+    pub fn is_late(&self) -> bool {
+        matches!(self.class, WaitClass::Late | WaitClass::Overdue)
+    }
+
     /// Returns whether every task is done.
     pub fn is_done(&self) -> bool {
         self.steps.iter().flatten().all(|task| task.phase == Phase::Done)
@@ -97,6 +108,14 @@
         self.steps.iter().flatten().any(|task| task.phase == Phase::Waiting)
     }
 
+    /// Returns the keys of the tasks that wait for capacity.
+    pub fn waiting_tasks(&self) -> Vec<TaskKey> {
+        let keys = self.task_keys().into_iter();
+        let is_waiting =
+            |key: &TaskKey| self.task(key).is_some_and(|task| task.phase == Phase::Waiting);
+        keys.filter(is_waiting).collect()
+    }
+
     /// Moves blocked tasks whose step's dependencies are done to [`Phase::Waiting`]; returns their
     /// keys.
     pub fn unblock_tasks(&mut self) -> Vec<TaskKey> {
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -2,6 +2,9 @@
 //!
 //! - `submission`: handles callers' requests
 //! - [`admission`]: accepts or refuses a job when it arrives
+//! - `supply`: the capacity that arriving jobs can expect
+//! - [`late_limit`]: how much work may wait that will be late
+//! - [`waiting`]: order in which waiting tasks are placed
 //! - `dispatch`: places waiting tasks and stops stuck runs
 //! - `completion`: handles ended runs and ends jobs
 //! - [`placement`]: chooses the agent that starts a task
@@ -9,19 +12,24 @@
 //! - [`agent_view`]: state of an agent as the entry knows it
 //! - [`job_state`]: state of an open job and its tasks
 //! - [`run_times`], [`rates`]: learned run times, and rates of demanded and released CPU
+//! - [`caller_age`]: how long callers had waited before their request arrived
 //! - [`answer_cache`]: final answers for callers that submit a finished job again
 
 pub mod admission;
 pub mod agent_view;
 pub mod answer_cache;
+pub mod caller_age;
 mod completion;
 mod dispatch;
 pub mod job_state;
+pub mod late_limit;
 pub mod placement;
 pub mod rates;
 pub mod run_times;
 mod submission;
 pub mod subset;
+mod supply;
+pub mod waiting;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -31,7 +39,7 @@
 use crate::{
     clock::BootTime,
     frame::{AgentFrame, EntryFrame},
-    ids::{CallerId, JobId, LinkId, OrderNumber, ProcessId, TaskKey},
+    ids::{CallerId, JobId, LinkId, OrderNumber, ProcessId, ServiceName},
     outcome::{Answer, Obstacle, RunOutcome},
     routing::RoutingTable,
     timing::Timing,
@@ -40,11 +48,8 @@
 pub use self::submission::Submission;
 
 use self::{
-    agent_view::AgentView,
-    answer_cache::AnswerCache,
-    job_state::JobState,
-    rates::{CpuRate, RouteDemands},
-    run_times::RunTimes,
+    agent_view::AgentView, answer_cache::AnswerCache, caller_age::CallerAges, job_state::JobState,
+    late_limit::LateLimit, rates::RouteDemands, run_times::RunTimes, waiting::WaitingTask,
 };
 
 /// Average lag of the tick timer above which no new jobs are accepted: heartbeats are due every
@@ -103,14 +108,14 @@
     last_removed_order: OrderNumber,
     jobs: BTreeMap<JobId, JobState>,
     callers: BTreeMap<CallerId, JobId>,
-    /// Tasks that wait for capacity, by time and not by the priority of their routes: initial tasks
-    /// by their latest useful start, tasks of later steps by the time of their job's latency
-    /// objective, and tasks to be started again by their job's arrival.
-    waiting: BTreeSet<(BootTime, TaskKey)>,
+    /// Tasks that wait for capacity, ordered by class and time, not by the priority of their routes.
+    waiting: BTreeSet<WaitingTask>,
+    /// Limit on the work that waits in the late class.
+    late_limit: LateLimit,
     answer_cache: AnswerCache,
     run_times: RunTimes,
-    /// CPU released by ended runs at the agents in use.
-    release_rate: CpuRate,
+    /// How long callers had waited before their requests arrived.
+    caller_ages: CallerAges,
     /// CPU demanded by arriving jobs.
     demands: RouteDemands,
     /// Number of entries that share the targets, this one included.
@@ -118,6 +123,10 @@
     is_shutting_down: bool,
     /// Moving average of how late the tick timer fires.
     lag: Duration,
+    /// When each service last had room for late jobs.
+    spare_seen_at: BTreeMap<ServiceName, BootTime>,
+    /// Time of the first event.
+    started_at: BootTime,
     last_event_at: BootTime,
     answers: Vec<(CallerId, Answer)>,
     counters: EntryCounters,
@@ -138,13 +147,16 @@
             jobs: BTreeMap::new(),
             callers: BTreeMap::new(),
             waiting: BTreeSet::new(),
+            late_limit: LateLimit::default(),
             answer_cache: AnswerCache::default(),
             run_times: RunTimes::default(),
-            release_rate: CpuRate::default(),
+            caller_ages: CallerAges::default(),
             demands: RouteDemands::default(),
             entry_count: 1,
             is_shutting_down: false,
             lag: Duration::ZERO,
+            spare_seen_at: BTreeMap::new(),
+            started_at: BootTime::ZERO,
             last_event_at: BootTime::ZERO,
             answers: Vec::new(),
             counters: EntryCounters::default(),
@@ -273,16 +285,14 @@
             return;
         }
         let accepted_before = view.offer.accepts;
-        let (undelivered, released) = view.receive(now, &frame);
+        let undelivered = view.receive(now, &frame);
         let is_in_use = view.is_in_use;
-        if is_in_use {
-            self.release_rate.record(now, released);
-        }
         if frame.profile.is_some() || (frame.offer.accepts && !is_in_use && !accepted_before) {
             self.update_agents_in_use(now);
         }
         for task in undelivered {
-            let order = self.agents.get(agent).and_then(|view| view.runs.get(&task).copied());
+            let order =
+                self.agents.get(agent).and_then(|view| view.runs.get(&task).map(|run| run.order));
             let Some(order) = order else { continue };
             let outcome = RunOutcome::NotStarted(Obstacle::Undelivered);
             self.handle_run_end(now, agent, &task, order, outcome, Duration::ZERO);
@@ -307,14 +317,14 @@
     /// places waiting tasks.
     pub fn tick(&mut self, now: BootTime) {
         self.detect_suspension(now);
-        self.release_rate.record(now, 0);
         self.demands.expire(now);
         self.end_runs_at_silent_agents(now);
         if now.saturating_sub(self.subset_chosen_at) >= SUBSET_INTERVAL {
             self.update_agents_in_use(now);
         }
         self.stop_stuck_runs(now);
-        self.give_up_late_jobs(now);
+        self.record_spare_capacity(now);
+        self.end_hopeless_jobs(now);
         self.place_waiting_tasks(now);
     }
 
@@ -324,6 +334,9 @@
         let pause = now.saturating_sub(self.last_event_at);
         let is_first = self.last_event_at.is_zero();
         self.last_event_at = now;
+        if is_first {
+            self.started_at = now;
+        }
         if is_first || pause <= self.timing.contact_limit {
             return;
         }
@@ -373,7 +386,7 @@
         for agent in silent {
             let Some(view) = self.agents.get(&agent) else { continue };
             let runs: Vec<_> =
-                view.runs.iter().map(|(task, order)| (task.clone(), *order)).collect();
+                view.runs.iter().map(|(task, run)| (task.clone(), run.order)).collect();
             for (task, order) in runs {
                 self.handle_run_end(now, &agent, &task, order, RunOutcome::Lost, Duration::ZERO);
             }
--- a/crates/bulrushlatch_dispatch/src/entry/rates.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/rates.rs
@@ -13,16 +13,16 @@
 /// pause is not refused for lack of recorded demand.
 const MIN_SHARE: f64 = 0.05;
 
-/// CPU per second, over a sliding window.
+/// Sum of CPU over a sliding window.
 #[derive(Debug, Default)]
-pub struct CpuRate {
+struct CpuWindow {
     samples: VecDeque<(BootTime, u64)>,
     sum_cpu_millis: u64,
 }
 
-impl CpuRate {
+impl CpuWindow {
     /// Adds a sample, in thousandths of a core, and drops samples older than the window.
-    pub fn record(&mut self, now: BootTime, cpu_millis: u64) {
+    fn record(&mut self, now: BootTime, cpu_millis: u64) {
         if cpu_millis > 0 {
             self.samples.push_back((now, cpu_millis));
             self.sum_cpu_millis += cpu_millis;
@@ -34,17 +34,12 @@
             self.sum_cpu_millis -= old;
         }
     }
-
-    /// Returns the rate in thousandths of a core per second.
-    pub fn cpu_millis_per_s(&self) -> f64 {
-        self.sum_cpu_millis as f64 / WINDOW.as_secs_f64()
-    }
 }
 
 /// CPU that the jobs of each route demand, accepted or not.
 #[derive(Debug, Default)]
 pub struct RouteDemands {
-    routes: BTreeMap<RouteName, CpuRate>,
+    routes: BTreeMap<RouteName, CpuWindow>,
 }
 
 impl RouteDemands {
--- a/crates/bulrushlatch_dispatch/src/entry/submission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/submission.rs
@@ -5,7 +5,7 @@
 use crate::{
     clock::BootTime,
     ids::{CallerId, JobId},
-    job::{JobRequest, Step},
+    job::JobRequest,
     outcome::{Answer, Refusal},
     routing::Route,
 };
@@ -14,12 +14,18 @@
     Entry,
     admission::{self, Admission, Demand, Supply},
     job_state::{JobState, TaskState},
+    waiting::{WaitClass, WaitingTask},
 };
 
 /// Retry delay, before jitter, after a refusal for another reason than overload.
 const DEFAULT_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Largest number of tasks of a job.
 const MAX_TASKS_PER_JOB: u64 = 10_000;
+/// Number of latency objectives within which an answer is of use.
+const LATE_OBJECTIVES: u32 = 3;
+/// Share of the time after which callers submit again, below which a difference between callers is
+/// no sign of an earlier submission.
+const MIN_RESEND_SHARE: f64 = 0.75;
 /// Time reserved for messages in a job's latency objective.
 const MESSAGE_TIME_RESERVE: Duration = Duration::from_millis(8);
 
@@ -123,20 +129,39 @@
         let job = request.id.clone();
         let critical_path = self.expected_critical_path(&route, &request);
         let objective = route.objective(critical_path);
+        let useful_time = objective * LATE_OBJECTIVES;
+        let waited = remaining_time.map_or(Duration::ZERO, |remaining| {
+            let min_age = self.timing.resend_after.mul_f64(MIN_RESEND_SHARE);
+            self.caller_ages.record(&route.name, remaining, useful_time, min_age)
+        });
+        let max_wait = |until: Duration| {
+            until.saturating_sub(critical_path).saturating_sub(MESSAGE_TIME_RESERVE)
+        };
+        let is_overdue = waited + critical_path > useful_time;
+        let useful_time = match remaining_time {
+            Some(remaining) if is_overdue => remaining,
+            _ => useful_time.saturating_sub(waited),
+        };
         let demand = Demand {
             cpu_millis: request.initial_demand().cpu_millis,
-            max_wait: objective.saturating_sub(critical_path).saturating_sub(MESSAGE_TIME_RESERVE),
+            max_wait: max_wait(objective.saturating_sub(waited)),
+            max_late_wait: max_wait(useful_time),
+            is_late: waited + critical_path > objective,
         };
-        let latest_start = now + demand.max_wait;
         self.demands.record(now, &route.name, demand.cpu_millis);
         let has_targets =
             request.steps.iter().all(|step| self.has_fitting_target(now, &route, step));
-        let Some(supply) = self.supply(now, &route).filter(|_| has_targets) else {
+        if !has_targets && !self.is_discovering(now, &route) {
             self.refuse(now, caller, &job, Refusal::NoTarget, Duration::ZERO);
             return;
+        }
+        let supply = self.supply(now, &route, critical_path, demand.max_late_wait);
+        let admission = match admission::decide(&demand, &supply) {
+            // Targets are about to be found.
+            Admission::Refuse { wait } if !has_targets => Admission::Accept { wait },
+            admission => admission,
         };
-        let admission = admission::decide(&demand, &supply);
-        self.log_admission(&job, &route, &demand, &supply, admission);
+        self.log_admission(&job, &route, &demand, &supply, waited, admission);
         if let Admission::Refuse { wait } = admission {
             self.refuse(now, caller, &job, Refusal::Overloaded, wait);
             return;
@@ -148,14 +173,22 @@
             callers: vec![caller],
             arrived_at: now,
             deadline_at: remaining_time.map_or(BootTime::MAX, |remaining| now + remaining),
-            objective_at: now + objective,
+            objective_at: now + objective.saturating_sub(waited),
+            useful_until: now + useful_time,
+            class: match admission {
+                Admission::AcceptLate { .. } if is_overdue => WaitClass::Overdue,
+                Admission::AcceptLate { .. } => WaitClass::Late,
+                _ => WaitClass::InTime,
+            },
             has_run: false,
             request,
             route,
         };
-        let latest_start = latest_start.min(state.deadline_at);
-        for task in state.unblock_tasks() {
-            self.waiting.insert((latest_start, task));
+        let due_at = if state.is_late() { state.useful_until } else { now + demand.max_wait };
+        let due_at = due_at.min(state.deadline_at);
+        let class = state.class;
+        for key in state.unblock_tasks() {
+            self.waiting.insert(WaitingTask { class, due_at, key });
         }
         self.callers.insert(caller, job.clone());
         self.jobs.insert(job, state);
@@ -170,10 +203,12 @@
         route: &Route,
         demand: &Demand,
         supply: &Supply,
+        waited: Duration,
         admission: Admission,
     ) {
         let (decision, wait) = match admission {
             Admission::Accept { wait } => ("taken", wait),
+            Admission::AcceptLate { wait } => ("taken, will be late", wait),
             Admission::Refuse { wait } => ("refused on arrival", wait),
         };
         tracing::info!(
@@ -182,8 +217,11 @@
             version = self.version(),
             cpu_millis = demand.cpu_millis,
             patience_ms = demand.max_wait.as_millis() as u64,
+            waited_before_ms = waited.as_millis() as u64,
             free_cpu_millis = supply.free_cpu_millis,
             queued_cpu_millis = supply.queued_cpu_millis,
+            late_cpu_millis = supply.late_cpu_millis,
+            max_late_cpu_millis = supply.max_late_cpu_millis,
             released_cpu_millis_per_s = supply.released_cpu_millis_per_s as u64,
             wait_ms = wait.as_millis() as u64,
             "{decision}"
@@ -195,49 +233,6 @@
         self.run_times.expected(&route.name, request.critical_path())
     }
 
-    /// Returns whether any available target could run a task of a step if it were idle.
-    fn has_fitting_target(&self, now: BootTime, route: &Route, step: &Step) -> bool {
-        self.agents.values().any(|agent| {
-            agent.profile.service == route.service
-                && agent.is_available(now, &self.timing)
-                && step.fits(&agent.profile)
-        })
-    }
-
-    /// Returns the capacity available to a route's jobs; `None` if no agent of its service is
-    /// available.
-    fn supply(&self, now: BootTime, route: &Route) -> Option<Supply> {
-        let agents = self.agents.values().filter(|agent| {
-            agent.profile.service == route.service && agent.is_available(now, &self.timing)
-        });
-        let mut free_cpu_millis = 0;
-        let mut total_cpu_millis = 0;
-        let mut agent_count = 0;
-        for agent in agents {
-            free_cpu_millis += agent.free().cpu_millis;
-            total_cpu_millis += agent.profile.total.cpu_millis;
-            agent_count += 1;
-        }
-        let reserve = admission::reserve_cpu_millis(total_cpu_millis, self.is_most_urgent(route));
-        let free_cpu_millis = free_cpu_millis.saturating_sub(reserve);
-        let queued = self.waiting.iter().filter_map(|(_, task)| {
-            let job = self.jobs.get(&task.job).filter(|job| job.route.name == route.name)?;
-            job.request.steps.get(task.step as usize)
-        });
-        let queued_cpu_millis = queued.map(|step| step.size.cpu_millis).sum();
-        let released_cpu_millis_per_s =
-            self.release_rate.cpu_millis_per_s() / self.entries_per_agent();
-        let route_share = self.demands.share(&route.name);
-        let supply =
-            Supply { free_cpu_millis, queued_cpu_millis, released_cpu_millis_per_s, route_share };
-        (agent_count > 0).then_some(supply)
-    }
-
-    /// Returns whether no other route of the service has a lower priority number.
-    pub(super) fn is_most_urgent(&self, route: &Route) -> bool {
-        self.table.as_ref().is_none_or(|table| table.is_most_urgent(route))
-    }
-
     /// Answers a caller with a refusal and a retry delay; only overload makes the delay depend on
     /// `wait`.
     pub(super) fn refuse(
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/src/entry/supply.rs
@@ -0,0 +1,169 @@
+//! Capacity that an arriving job can expect.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    clock::BootTime,
+    ids::{JobId, ServiceName},
+    job::Step,
+    routing::Route,
+};
+
+use super::{
+    Entry,
+    admission::{self, Supply},
+    agent_view::AgentView,
+    waiting::WaitClass,
+};
+
+/// Time after the start of the process for which targets are expected to be found.
+const DISCOVERY_TIME: Duration = Duration::from_millis(1_000);
+/// Free capacity, in multiples of the reserve, from which on there is room for late jobs.
+const SPARE_RESERVES: u64 = 2;
+/// Shortest run time in seconds that a rate is computed for.
+const MIN_RUN_TIME_S: f64 = 1e-3;
+
+impl Entry {
+    /// Returns whether the first target of a service is still to be found, as this process has
+    /// started only a short while ago.
+    pub(super) fn is_discovering(&self, now: BootTime, route: &Route) -> bool {
+        let is_new = now.saturating_sub(self.started_at) < DISCOVERY_TIME;
+        is_new && self.available_targets(now, route).next().is_none()
+    }
+
+    fn available_targets<'a>(
+        &'a self,
+        now: BootTime,
+        route: &'a Route,
+    ) -> impl Iterator<Item = &'a AgentView> {
+        self.agents.values().filter(move |agent| {
+            agent.profile.service == route.service && agent.is_available(now, &self.timing)
+        })
+    }
+
+    /// Returns whether any available target could run a task of a step if it were idle.
+    pub(super) fn has_fitting_target(&self, now: BootTime, route: &Route, step: &Step) -> bool {
+        self.available_targets(now, route).any(|agent| step.fits(&agent.profile))
+    }
+
+    /// Returns the capacity available to a route's jobs, whose tasks take `run_time`.
+    pub(super) fn supply(
+        &self,
+        now: BootTime,
+        route: &Route,
+        run_time: Duration,
+        max_late_wait: Duration,
+    ) -> Supply {
+        let mut free_cpu_millis = 0;
+        let mut total_cpu_millis = 0;
+        for agent in self.available_targets(now, route) {
+            free_cpu_millis += agent.free().cpu_millis;
+            total_cpu_millis += agent.profile.total.cpu_millis;
+        }
+        let busy_cpu_millis = total_cpu_millis - free_cpu_millis.min(total_cpu_millis);
+        let released = self.released_cpu_millis_per_s(busy_cpu_millis, run_time);
+        let reserve = admission::reserve_cpu_millis(total_cpu_millis, self.is_most_urgent(route));
+        let queue = self.queue_lengths(route);
+        let max_late_cpu_millis = if self.had_spare_capacity(now, &route.service, max_late_wait) {
+            self.late_limit.cpu_millis(total_cpu_millis)
+        } else {
+            0
+        };
+        Supply {
+            free_cpu_millis: free_cpu_millis.saturating_sub(reserve),
+            queued_cpu_millis: queue.same_route_cpu_millis,
+            released_cpu_millis_per_s: released / self.entries_per_agent(),
+            route_share: self.demands.share(&route.name),
+            waiting_cpu_millis: queue.cpu_millis,
+            late_cpu_millis: queue.late_cpu_millis,
+            max_late_cpu_millis,
+        }
+    }
+
+    /// Records which services have room for late jobs now.
+    pub(super) fn record_spare_capacity(&mut self, now: BootTime) {
+        let mut services: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+        for agent in self.agents.values().filter(|agent| agent.is_available(now, &self.timing)) {
+            let (free, total) = services.entry(&agent.profile.service).or_default();
+            *free += agent.free().cpu_millis;
+            *total += agent.profile.total.cpu_millis;
+        }
+        let spare = services.into_iter().filter(|(_, (free, total))| {
+            let reserve = admission::reserve_cpu_millis(*total, false);
+            *free >= reserve * SPARE_RESERVES
+        });
+        let spare: Vec<ServiceName> = spare.map(|(service, _)| service.to_owned()).collect();
+        for service in spare {
+            self.spare_seen_at.insert(service, now);
+        }
+    }
+
+    /// Returns whether a service had room for late jobs at some time in the last `period`, or may
+    /// have had: targets are found only from the start of the process on.
+    fn had_spare_capacity(&self, now: BootTime, service: &str, period: Duration) -> bool {
+        let seen_at = self.spare_seen_at.get(service).copied().unwrap_or(self.started_at);
+        now.saturating_sub(seen_at) <= period
+    }
+
+    /// Returns the rate, in thousandths of a core per second, at which running tasks that occupy
+    /// `busy_cpu_millis` release it.
+    ///
+    /// What other entries run is assumed to be like what this entry runs, or to take `run_time`
+    /// while it runs nothing.
+    fn released_cpu_millis_per_s(&self, busy_cpu_millis: u64, run_time: Duration) -> f64 {
+        let mut own_cpu_millis = 0;
+        let mut own_released = 0.0;
+        for run in self.agents.values().flat_map(|agent| agent.runs.values()) {
+            own_cpu_millis += run.cpu_millis;
+            own_released += run.cpu_millis as f64 / run.run_time.as_secs_f64().max(MIN_RUN_TIME_S);
+        }
+        let busy = busy_cpu_millis as f64;
+        if own_cpu_millis == 0 {
+            return busy / run_time.as_secs_f64().max(MIN_RUN_TIME_S);
+        }
+        busy * own_released / own_cpu_millis as f64
+    }
+
+    /// Returns whether an open job that will miss its objective may wait in the late class.
+    pub(super) fn may_wait_late(&self, now: BootTime, id: &JobId) -> bool {
+        let Some(job) = self.jobs.get(id) else { return false };
+        let critical_path = self.expected_critical_path(&job.route, &job.request);
+        let max_wait = job.useful_until.saturating_sub(now + critical_path);
+        let supply = self.supply(now, &job.route, critical_path, max_wait);
+        let late = supply.late_cpu_millis + job.request.initial_demand().cpu_millis;
+        late <= supply.max_late_cpu_millis
+    }
+
+    /// Returns the CPU that waiting tasks need.
+    fn queue_lengths(&self, route: &Route) -> QueueLengths {
+        let mut lengths = QueueLengths::default();
+        for task in &self.waiting {
+            let Some(job) = self.jobs.get(&task.key.job) else { continue };
+            let Some(step) = job.request.steps.get(task.key.step as usize) else { continue };
+            let cpu_millis = step.size.cpu_millis;
+            lengths.cpu_millis += cpu_millis;
+            if matches!(task.class, WaitClass::Late | WaitClass::Overdue) {
+                lengths.late_cpu_millis += cpu_millis;
+            } else if job.route.name == route.name {
+                lengths.same_route_cpu_millis += cpu_millis;
+            }
+        }
+        lengths
+    }
+
+    /// Returns whether no other route of the service has a lower priority number.
+    pub(super) fn is_most_urgent(&self, route: &Route) -> bool {
+        self.table.as_ref().is_none_or(|table| table.is_most_urgent(route))
+    }
+}
+
+/// CPU that waiting tasks need, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default)]
+struct QueueLengths {
+    /// All of them.
+    cpu_millis: u64,
+    /// Those of one route, without late jobs.
+    same_route_cpu_millis: u64,
+    /// Those of late jobs.
+    late_cpu_millis: u64,
+}
--- a/crates/bulrushlatch_dispatch/tests/load/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/main.rs
@@ -3,6 +3,8 @@
 //!
 //! One entry and simulated targets on a virtual clock, without a network.
 
+mod overload;
+mod restart;
 mod site;
 #[path = "../support/mod.rs"]
 mod support;
--- a/crates/bulrushlatch_node/src/link.rs
+++ b/crates/bulrushlatch_node/src/link.rs
@@ -23,8 +23,9 @@
 const MAX_FRAME_BYTES: usize = 16 << 20;
 /// Maximum number of frames queued for a slow receiver; a frame beyond it closes the link.
 const MAX_QUEUED_FRAMES: usize = 512;
-/// Time-out for opening a link, well above a round trip within a region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time-out for opening a link, well above a round trip between regions. A VM without power answers
+/// nothing, and is to be reached soon after it returns.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Content of one frame.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/bulrushlatch_node/src/link_manager.rs
+++ b/crates/bulrushlatch_node/src/link_manager.rs
@@ -1,7 +1,12 @@
 //! Maintains a link to every known entry and reopens broken links.
 
 use std::{
-    cell::RefCell, collections::BTreeSet, future::Future, net::SocketAddr, rc::Rc, time::Duration,
+    cell::{Cell, RefCell},
+    collections::BTreeSet,
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
 };
 
 use bulrushlatch_dispatch::{clock::BootTime, directory::Directory, frame::Hello};
@@ -15,6 +20,11 @@
 const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
 /// Longest mean pause between attempts, reached for addresses on which no process listens.
 const MAX_RECONNECT_PAUSE: Duration = Duration::from_millis(500);
+/// The same while no link is open, and for [`DISCOVERY_TIME`] after one has opened: processes that
+/// lost power together also return together, and nothing is served before the links are open.
+const MAX_DISCOVERY_PAUSE: Duration = Duration::from_millis(40);
+/// Time after a link has opened for which others are expected to open.
+const DISCOVERY_TIME: Duration = Duration::from_secs(1);
 /// Interval between checks for addresses without a link.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -27,6 +37,8 @@
     maintained: RefCell<BTreeSet<SocketAddr>>,
     /// Addresses to which a link is open.
     open: RefCell<BTreeSet<SocketAddr>>,
+    /// When a link last opened.
+    opened_at: Cell<BootTime>,
 }
 
 /// A process that maintains links to entries.
@@ -57,6 +69,7 @@
             directory: RefCell::new(Directory::new(seeds.iter().copied())),
             maintained: RefCell::new(own.into_iter().collect()),
             open: RefCell::default(),
+            opened_at: Cell::new(BootTime::ZERO),
         }
     }
 
@@ -89,6 +102,20 @@
         addresses.filter(|address| maintained.insert(*address)).collect()
     }
 
+    fn record_open(&self, address: SocketAddr, now: BootTime) {
+        self.open.borrow_mut().insert(address);
+        self.opened_at.set(now);
+    }
+
+    fn max_pause(&self, now: BootTime) -> Duration {
+        let is_discovering = now.saturating_sub(self.opened_at.get()) < DISCOVERY_TIME;
+        if is_discovering || self.open.borrow().is_empty() {
+            MAX_DISCOVERY_PAUSE
+        } else {
+            MAX_RECONNECT_PAUSE
+        }
+    }
+
     fn needs_link(&self, address: SocketAddr) -> bool {
         self.directory.borrow().addresses().contains(&address)
     }
@@ -112,14 +139,14 @@
             sender.send(Frame::Hello(owner.hello()));
             if let Some(peer) = receiver.receive_hello(HELLO_TIMEOUT).await {
                 pause = RECONNECT_PAUSE;
-                owner.link_manager().open.borrow_mut().insert(address);
+                owner.link_manager().record_open(address, owner.now());
                 Rc::clone(&owner).serve(peer, sender, receiver).await;
                 owner.link_manager().open.borrow_mut().remove(&address);
             }
         }
         let jitter = 0.5 + fastrand::f64();
         tokio::time::sleep(pause.mul_f64(jitter)).await;
-        pause = (pause * 2).min(MAX_RECONNECT_PAUSE);
+        pause = (pause * 2).min(owner.link_manager().max_pause(owner.now()));
     }
     owner.link_manager().maintained.borrow_mut().remove(&address);
 }
