Entry: take late jobs that can start at once, and always let one wait

Cause: a job held to be late was taken only within the limit on late work. At a site of few targets the smallest limit, 2% of the capacity, is less than one task, so such jobs were refused for ever, also by idle targets.

--- a/crates/bulrushlatch_dispatch/src/entry/admission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/admission.rs
@@ -55,6 +55,15 @@
     pub max_late_cpu_millis: u64,
 }
 
+impl Supply {
+    /// Returns whether a job that needs `cpu_millis` may wait in the late class. One job may, however
+    /// large it is, unless the limit is zero.
+    pub fn has_late_room(&self, cpu_millis: u64) -> bool {
+        let is_first = self.late_cpu_millis == 0 && self.max_late_cpu_millis > 0;
+        is_first || self.late_cpu_millis + cpu_millis <= self.max_late_cpu_millis
+    }
+}
+
 /// Decision on a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -80,7 +89,7 @@
     let wait = expected_wait(demand, supply);
     if !demand.is_late && wait <= demand.max_wait.mul_f64(WAIT_SHARE) {
         Admission::Accept { wait }
-    } else if fits_late(demand, supply) {
+    } else if wait.is_zero() || fits_late(demand, supply) {
         Admission::AcceptLate { wait }
     } else {
         Admission::Refuse { wait }
@@ -90,10 +99,10 @@
 /// Returns whether a job may wait in the late class: there is room in it, and the job could start
 /// early enough even if everything that waits were to go first.
 fn fits_late(demand: &Demand, supply: &Supply) -> bool {
-    let late = supply.late_cpu_millis + demand.cpu_millis;
     let ahead = (supply.waiting_cpu_millis + demand.cpu_millis) as f64;
     let seconds = ahead / supply.released_cpu_millis_per_s.max(1.0);
-    late <= supply.max_late_cpu_millis && seconds <= demand.max_late_wait.as_secs_f64() * WAIT_SHARE
+    supply.has_late_room(demand.cpu_millis)
+        && seconds <= demand.max_late_wait.as_secs_f64() * WAIT_SHARE
 }
 
 /// Returns the expected time until all initial tasks of a job have started, at most
--- a/crates/bulrushlatch_dispatch/src/entry/supply.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/supply.rs
@@ -130,8 +130,7 @@
         let critical_path = self.expected_critical_path(&job.route, &job.request);
         let max_wait = job.useful_until.saturating_sub(now + critical_path);
         let supply = self.supply(now, &job.route, critical_path, max_wait);
-        let late = supply.late_cpu_millis + job.request.initial_demand().cpu_millis;
-        late <= supply.max_late_cpu_millis
+        supply.has_late_room(job.request.initial_demand().cpu_millis)
     }
 
     /// Returns the CPU that waiting tasks need.
--- a/crates/bulrushlatch_dispatch/tests/load/site.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/site.rs
@@ -239,6 +239,8 @@
     open: BTreeMap<CallerId, (usize, BootTime)>,
     /// Kind of each job that was submitted again.
     resubmitted: BTreeMap<CallerId, usize>,
+    /// Jobs that were submitted again and completed.
+    pub resubmitted_served: u64,
     pub tallies: Vec<Tally>,
     pub last_caller: CallerId,
     /// Ratios of callers' estimates to real run times, used in turn.
@@ -255,6 +257,7 @@
             due_jobs: vec![0.0; kinds.len()],
             open: BTreeMap::new(),
             resubmitted: BTreeMap::new(),
+            resubmitted_served: 0,
             tallies: vec![Tally::default(); kinds.len()],
             last_caller: 0,
             estimate_factors: vec![1.0],
@@ -361,7 +364,10 @@
             }
         }
         for (caller, answer) in self.entry.take_answers() {
-            let Some((kind, since)) = self.open.remove(&caller) else { continue };
+            let Some((kind, since)) = self.open.remove(&caller) else {
+                self.resubmitted_served += u64::from(answer == Answer::Completed);
+                continue;
+            };
             let took = self.now - since;
             let objective = route_of(&self.kinds[kind]).objective(ms(self.kinds[kind].run_ms));
             let tally = &mut self.tallies[kind];
