--- a/crates/bulrushlatch_ctl/src/explain_request.rs
+++ b/crates/bulrushlatch_ctl/src/explain_request.rs
@@ -85,7 +85,12 @@
             }
         };
     };
+    let was_late = last("taken, will be late").or(last("job will be late")).is_some();
     match answered.text("answer") {
+        "completed" if was_late => format!(
+            "completed in {} ms, after jobs that could still be in time",
+            answered.integer("took_ms")
+        ),
         "completed" => format!("completed in {} ms", answered.integer("took_ms")),
         "failed" => {
             // Missing if the input covers only a resubmission, which is answered from the cache.
@@ -98,6 +103,10 @@
                 )
             })
         }
+        "refused" if was_late => format!(
+            "refused after {} ms in which jobs that could be in time took all capacity; not run",
+            answered.integer("took_ms")
+        ),
         "refused" => explain_refusal(last("refused on arrival"), last("refused")),
         "interrupted" => format!(
             "given up after {} ms by its entry, which stood still or ran out of time; {runs} runs started",
--- a/crates/bulrushlatch_ctl/tests/explain_request.rs
+++ b/crates/bulrushlatch_ctl/tests/explain_request.rs
@@ -53,3 +53,21 @@
     let error = explain("a1", &[r#"{"timestamp":"01","message":"taken","job":"a11"}"#]);
     assert!(error.is_err_and(|error| error.contains("a1")));
 }
+
+#[test]
+fn late_jobs_are_told_from_those_refused_on_arrival() {
+    let outcome = |answer: &str| {
+        let log = [
+            r#"{"timestamp":"01","message":"taken, will be late","job":"a1"}"#.to_owned(),
+            format!(
+                r#"{{"timestamp":"02","message":"answered","job":"a1","took_ms":300,{answer}}}"#
+            ),
+        ];
+        let log: Vec<&str> = log.iter().map(String::as_str).collect();
+        explain("a1", &log).expect("the job is in the log")
+    };
+    let completed = outcome(r#""answer":"completed""#);
+    assert!(completed.contains("completed in 300 ms, after jobs"), "{completed}");
+    let refused = outcome(r#""answer":"refused""#);
+    assert!(refused.contains("refused after 300 ms"), "{refused}");
+}
