Dispatch: split entry and agent by what they decide

No change of behaviour: counters, known agents, times of a job, incarnations of the target and frames get files of their own; taking a job is three steps in place of one.

--- /dev/null
+++ b/crates/bulrushlatch_dispatch/src/agent/frames.rs
@@ -0,0 +1,81 @@
+//! Frames to entries.
+
+use std::time::Duration;
+
+use crate::{
+    clock::BootTime,
+    frame::{AgentFrame, Offer, Profile, Report},
+    ids::LinkId,
+};
+
+use super::Agent;
+
+impl Agent {
+    /// Returns the frames that are due. `min_interval` is the shortest time between frames on one
+    /// link; a report, an unsent profile or a changed `accepts` is sent at once.
+    pub fn frames(&mut self, now: BootTime, min_interval: Duration) -> Vec<(LinkId, AgentFrame)> {
+        let offer = self.offer(now);
+        let profile = self.profile();
+        let timing = self.timing;
+        let mut frames = Vec::new();
+        for session in self.sessions.values_mut() {
+            let Some(link) = session.link else { continue };
+            if !session.is_due(now, &timing, min_interval, offer.accepts) {
+                continue;
+            }
+            let sent = session.sent_report;
+            let new = session.reports.iter().filter(|report| report.number > sent);
+            let reports: Vec<Report> = new.cloned().collect();
+            session.sent_report = session.last_report;
+            session.sent_at = now;
+            session.has_pending_update = false;
+            let profile = (!session.is_profile_sent).then(|| profile.clone());
+            session.is_profile_sent = true;
+            session.sent_accepts = offer.accepts;
+            let stamp_ms = now.as_millis() as u64;
+            let orders_seen = session.orders_seen;
+            frames.push((link, AgentFrame { stamp_ms, orders_seen, profile, offer, reports }));
+        }
+        frames
+    }
+
+    /// Returns whether a frame should be sent before the next heartbeat.
+    pub fn has_pending_update(&self) -> bool {
+        self.sessions.values().any(|session| {
+            session.link.is_some() && session.is_in_use && session.has_pending_update
+        })
+    }
+
+    fn profile(&self) -> Profile {
+        let Some(target) = &self.target else { return Profile::default() };
+        let announcement = &target.announcement;
+        Profile {
+            service: announcement.service.clone(),
+            labels: announcement.labels.clone(),
+            zone: announcement.zone.clone(),
+            total: announcement.capacity,
+        }
+    }
+
+    fn offer(&self, now: BootTime) -> Offer {
+        Offer {
+            free: self.free(now),
+            accepts: self.accepts(now),
+            released_cpu_millis: self.released_cpu_millis,
+        }
+    }
+
+    /// Makes the next frame on each link carry the target's profile.
+    pub(super) fn resend_profiles(&mut self) {
+        for session in self.sessions.values_mut() {
+            session.is_profile_sent = false;
+        }
+    }
+
+    /// Makes links in use send a frame before their next heartbeat.
+    pub(super) fn mark_pending_update(&mut self) {
+        for session in self.sessions.values_mut() {
+            session.has_pending_update = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/src/agent/incarnation.rs
@@ -0,0 +1,104 @@
+//! Incarnations of the target: which one is present, and when one is over.
+
+use crate::{clock::BootTime, outcome::RunOutcome};
+
+use super::{
+    Agent,
+    health::Health,
+    target::{Announcement, PollError, Target, TargetId},
+};
+
+/// Past incarnations of the target that are remembered, beyond which the smallest id is dropped;
+/// fewer start beside one agent in a day.
+const MAX_PAST_TARGETS: usize = 64;
+
+impl Agent {
+    /// Handles the announcement of a target.
+    pub fn handle_announcement(&mut self, announcement: Announcement) {
+        if self.past_targets.contains(&announcement.id) {
+            tracing::info!(target = %announcement.id, "announcement of a past target ignored");
+            return;
+        }
+        match &self.target {
+            None => self.adopt_target(announcement),
+            Some(target) if target.announcement.id == announcement.id => {
+                self.update_announcement(announcement);
+            }
+            // A poll of the target's address shows which of the two is running.
+            Some(target) => {
+                tracing::info!(
+                    present = %target.announcement.id, other = %announcement.id,
+                    "announcement of another target"
+                );
+                self.successor = Some(announcement);
+            }
+        }
+    }
+
+    fn adopt_target(&mut self, announcement: Announcement) {
+        tracing::info!(
+            target = %announcement.id, service = %announcement.service,
+            cpu_millis = announcement.capacity.cpu_millis, "target found"
+        );
+        self.target = Some(Target::new(announcement));
+        self.resend_profiles();
+        self.health = Health::default();
+        self.mark_pending_update();
+    }
+
+    fn update_announcement(&mut self, announcement: Announcement) {
+        let Some(target) = &mut self.target else { return };
+        if target.announcement.sequence >= announcement.sequence {
+            return;
+        }
+        let was_leaving = target.announcement.is_leaving;
+        let is_leaving = announcement.is_leaving;
+        target.announcement = announcement;
+        if was_leaving != is_leaving {
+            tracing::info!(target = %target.announcement.id, is_leaving, "target changed state");
+            self.mark_pending_update();
+        }
+    }
+
+    /// Handles the message that the target has left.
+    pub fn handle_departure(&mut self, now: BootTime, id: &TargetId) {
+        if self.target_id() == Some(id) {
+            self.retire_target(now);
+        }
+    }
+
+    /// Handles a failed status poll of the target.
+    pub fn handle_poll_error(&mut self, now: BootTime, id: &TargetId, error: PollError) {
+        if self.target_id() != Some(id) {
+            return;
+        }
+        match error {
+            PollError::Absent | PollError::OtherTarget => self.retire_target(now),
+            PollError::NoAnswer => {
+                if let Some(target) = &mut self.target {
+                    target.record_no_answer(now);
+                }
+            }
+        }
+    }
+
+    /// Ends the present incarnation of the target and reports its runs as lost.
+    fn retire_target(&mut self, now: BootTime) {
+        let Some(target) = self.target.take() else { return };
+        tracing::info!(target = %target.announcement.id, runs = self.runs.len(), "target lost");
+        self.past_targets.insert(target.announcement.id);
+        self.resend_profiles();
+        while self.past_targets.len() > MAX_PAST_TARGETS {
+            self.past_targets.pop_first();
+        }
+        for task in self.runs.keys().cloned().collect::<Vec<_>>() {
+            self.finish(now, &task, RunOutcome::Lost);
+        }
+        self.mark_pending_update();
+        if let Some(successor) = self.successor.take()
+            && !self.past_targets.contains(&successor.id)
+        {
+            self.adopt_target(successor);
+        }
+    }
+}
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -1,13 +1,17 @@
 //! Decisions of the agent, the process beside a target that alone starts tasks there.
 //!
+//! - `incarnation`: tells the present incarnation of the target from others
 //! - `orders`: handles orders from entries
+//! - `frames`: frames to entries
 //! - `lifecycle`: starts, stops and ends the runs at the target
 //! - [`run`]: one run of a task
 //! - [`session`]: the state kept for each entry
 //! - [`target`]: what is known of the target
 //! - [`health`]: ejection of a target at which jobs fail
 
+mod frames;
 pub mod health;
+mod incarnation;
 mod lifecycle;
 mod orders;
 pub mod run;
@@ -21,9 +25,7 @@
 
 use crate::{
     clock::BootTime,
-    frame::{AgentFrame, Offer, Profile, Report},
     ids::{Attempt, LinkId, ProcessId, ReportNumber, TaskKey},
-    outcome::RunOutcome,
     size::Size,
     timing::Timing,
 };
@@ -34,7 +36,7 @@
     health::{Health, HealthState},
     run::Run,
     session::Session,
-    target::{Announcement, PollError, Target, TargetId, TargetTimeMs},
+    target::{Announcement, Target, TargetId, TargetTimeMs},
 };
 
 /// An order that the agent's process is to send to the target.
@@ -150,101 +152,12 @@
         self.mark_pending_update();
     }
 
-    /// Handles the announcement of a target.
-    pub fn handle_announcement(&mut self, announcement: Announcement) {
-        if self.past_targets.contains(&announcement.id) {
-            tracing::info!(target = %announcement.id, "announcement of a past target ignored");
-            return;
-        }
-        match &self.target {
-            None => self.adopt_target(announcement),
-            Some(target) if target.announcement.id == announcement.id => {
-                self.update_announcement(announcement);
-            }
-            // A poll of the target's address shows which of the two is running.
-            Some(target) => {
-                tracing::info!(
-                    present = %target.announcement.id, other = %announcement.id,
-                    "announcement of another target"
-                );
-                self.successor = Some(announcement);
-            }
-        }
-    }
-
-    fn adopt_target(&mut self, announcement: Announcement) {
-        tracing::info!(
-            target = %announcement.id, service = %announcement.service,
-            cpu_millis = announcement.capacity.cpu_millis, "target found"
-        );
-        self.target = Some(Target::new(announcement));
-        self.resend_profiles();
-        self.health = Health::default();
-        self.mark_pending_update();
-    }
-
-    fn update_announcement(&mut self, announcement: Announcement) {
-        let Some(target) = &mut self.target else { return };
-        if target.announcement.sequence >= announcement.sequence {
-            return;
-        }
-        let was_leaving = target.announcement.is_leaving;
-        let is_leaving = announcement.is_leaving;
-        target.announcement = announcement;
-        if was_leaving != is_leaving {
-            tracing::info!(target = %target.announcement.id, is_leaving, "target changed state");
-            self.mark_pending_update();
-        }
-    }
-
-    /// Handles the message that the target has left.
-    pub fn handle_departure(&mut self, now: BootTime, id: &TargetId) {
-        if self.target_id() == Some(id) {
-            self.retire_target(now);
-        }
-    }
-
-    /// Handles a failed status poll of the target.
-    pub fn handle_poll_error(&mut self, now: BootTime, id: &TargetId, error: PollError) {
-        if self.target_id() != Some(id) {
-            return;
-        }
-        match error {
-            PollError::Absent | PollError::OtherTarget => self.retire_target(now),
-            PollError::NoAnswer => {
-                if let Some(target) = &mut self.target {
-                    target.record_no_answer(now);
-                }
-            }
-        }
-    }
-
     /// Returns the time for which the target may hold the next status poll open; zero without a
     /// target.
     pub fn poll_wait(&self, now: BootTime) -> Duration {
         self.target.as_ref().map_or(Duration::ZERO, |target| target.poll_wait(now))
     }
 
-    /// Ends the present incarnation of the target and reports its runs as lost.
-    fn retire_target(&mut self, now: BootTime) {
-        let Some(target) = self.target.take() else { return };
-        tracing::info!(target = %target.announcement.id, runs = self.runs.len(), "target lost");
-        self.past_targets.insert(target.announcement.id);
-        self.resend_profiles();
-        while self.past_targets.len() > MAX_PAST_TARGETS {
-            self.past_targets.pop_first();
-        }
-        for task in self.runs.keys().cloned().collect::<Vec<_>>() {
-            self.finish(now, &task, RunOutcome::Lost);
-        }
-        self.mark_pending_update();
-        if let Some(successor) = self.successor.take()
-            && !self.past_targets.contains(&successor.id)
-        {
-            self.adopt_target(successor);
-        }
-    }
-
     /// Records that a link to an entry has opened, in place of an earlier one.
     pub fn link_up(&mut self, now: BootTime, entry: ProcessId, link: LinkId) {
         let last_report = self.last_removed_report;
@@ -303,60 +216,6 @@
         });
     }
 
-    /// Returns the frames that are due. `min_interval` is the shortest time between frames on one
-    /// link; a report, an unsent profile or a changed `accepts` is sent at once.
-    pub fn frames(&mut self, now: BootTime, min_interval: Duration) -> Vec<(LinkId, AgentFrame)> {
-        let offer = self.offer(now);
-        let profile = self.profile();
-        let timing = self.timing;
-        let mut frames = Vec::new();
-        for session in self.sessions.values_mut() {
-            let Some(link) = session.link else { continue };
-            if !session.is_due(now, &timing, min_interval, offer.accepts) {
-                continue;
-            }
-            let sent = session.sent_report;
-            let new = session.reports.iter().filter(|report| report.number > sent);
-            let reports: Vec<Report> = new.cloned().collect();
-            session.sent_report = session.last_report;
-            session.sent_at = now;
-            session.has_pending_update = false;
-            let profile = (!session.is_profile_sent).then(|| profile.clone());
-            session.is_profile_sent = true;
-            session.sent_accepts = offer.accepts;
-            let stamp_ms = now.as_millis() as u64;
-            let orders_seen = session.orders_seen;
-            frames.push((link, AgentFrame { stamp_ms, orders_seen, profile, offer, reports }));
-        }
-        frames
-    }
-
-    /// Returns whether a frame should be sent before the next heartbeat.
-    pub fn has_pending_update(&self) -> bool {
-        self.sessions.values().any(|session| {
-            session.link.is_some() && session.is_in_use && session.has_pending_update
-        })
-    }
-
-    fn profile(&self) -> Profile {
-        let Some(target) = &self.target else { return Profile::default() };
-        let announcement = &target.announcement;
-        Profile {
-            service: announcement.service.clone(),
-            labels: announcement.labels.clone(),
-            zone: announcement.zone.clone(),
-            total: announcement.capacity,
-        }
-    }
-
-    fn offer(&self, now: BootTime) -> Offer {
-        Offer {
-            free: self.free(now),
-            accepts: self.accepts(now),
-            released_cpu_millis: self.released_cpu_millis,
-        }
-    }
-
     /// Returns the target's free capacity: zero without a target or while it counts as full;
     /// otherwise its capacity less the sizes of tracked runs.
     fn free(&self, now: BootTime) -> Size {
@@ -406,25 +265,8 @@
         let lease = self.timing.lease;
         self.target.as_mut().map(|target| target.request_lease(now, lease, longest))
     }
-
-    /// Makes the next frame on each link carry the target's profile.
-    fn resend_profiles(&mut self) {
-        for session in self.sessions.values_mut() {
-            session.is_profile_sent = false;
-        }
-    }
-
-    /// Makes links in use send a frame before their next heartbeat.
-    fn mark_pending_update(&mut self) {
-        for session in self.sessions.values_mut() {
-            session.has_pending_update = true;
-        }
-    }
 }
 
-/// Past incarnations of the target that are remembered, beyond which the smallest id is dropped;
-/// fewer start beside one agent in a day.
-const MAX_PAST_TARGETS: usize = 64;
 /// Share of the contact limit without a frame after which a link is replaced. The rest is left to
 /// open a new link before the entry counts as silent.
 const SILENT_LINK_SHARE: f64 = 0.6;
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/src/entry/agents.rs
@@ -0,0 +1,85 @@
+//! The agents that an entry knows: links, choice of those in use, and the loss of an agent.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use crate::{
+    clock::BootTime,
+    ids::{LinkId, ProcessId},
+    outcome::RunOutcome,
+};
+
+use super::{Entry, agent_view::AgentView, subset};
+
+/// Idle heartbeats without a frame beyond which an agent is not chosen for placement.
+const MAX_SILENT_HEARTBEATS: u32 = 2;
+
+impl Entry {
+    /// Handles a new link to an agent.
+    pub fn link_up(&mut self, now: BootTime, agent: ProcessId, link: LinkId) {
+        self.detect_suspension(now);
+        tracing::info!(%agent, link, "agent linked");
+        let last_order = self.last_removed_order;
+        let view =
+            self.agents.entry(agent).or_insert_with(|| AgentView::new(link, now, last_order));
+        view.link_up(link);
+    }
+
+    /// Handles the loss of a link to an agent.
+    pub fn link_down(&mut self, now: BootTime, agent: &ProcessId, link: LinkId) {
+        self.detect_suspension(now);
+        if let Some(view) = self.agents.get_mut(agent) {
+            view.link_down(link);
+            tracing::info!(%agent, link, runs = view.runs.len(), "agent's link closed");
+        }
+    }
+
+    /// Chooses the agents at which tasks are placed; an agent that still has runs stays in use.
+    pub(super) fn update_agents_in_use(&mut self, now: BootTime) {
+        self.subset_chosen_at = now;
+        let max_silence = self.timing.idle_heartbeat() * MAX_SILENT_HEARTBEATS;
+        let usable = self.agents.iter().filter(|(_, view)| {
+            let is_recent = now.saturating_sub(view.received_at) <= max_silence;
+            view.link.is_some() && view.offer.accepts && is_recent
+        });
+        let candidates = usable.map(|(agent, view)| subset::Candidate {
+            agent,
+            service: &view.profile.service,
+            is_in_own_zone: view.profile.zone == self.zone,
+        });
+        let chosen: BTreeSet<ProcessId> =
+            subset::choose(self.seed, candidates).into_iter().cloned().collect();
+        for (agent, view) in &mut self.agents {
+            view.set_in_use(chosen.contains(agent) || !view.runs.is_empty());
+        }
+    }
+
+    /// Returns the estimated number of entries that use each agent, this one included.
+    pub(super) fn entries_per_agent(&self) -> f64 {
+        let linked = self.agents.values().filter(|view| view.link.is_some()).count();
+        let in_use = self.agents.values().filter(|view| view.is_in_use).count();
+        let share = in_use as f64 / linked.max(1) as f64;
+        (f64::from(self.entry_count) * share).max(1.0)
+    }
+
+    /// Ends the runs at agents that have been silent for so long that none can be left there, and
+    /// removes those agents that have no link.
+    pub(super) fn end_runs_at_silent_agents(&mut self, now: BootTime) {
+        let timing = self.timing;
+        let silent = self.agents.iter().filter(|(_, view)| view.have_runs_ended(now, &timing));
+        let silent: Vec<ProcessId> = silent.map(|(agent, _)| agent.clone()).collect();
+        for agent in silent {
+            let Some(view) = self.agents.get(&agent) else { continue };
+            let runs: Vec<_> =
+                view.runs.iter().map(|(task, run)| (task.clone(), run.order)).collect();
+            for (task, order) in runs {
+                self.handle_run_end(now, &agent, &task, order, RunOutcome::Lost, Duration::ZERO);
+            }
+            let Some(view) = self.agents.get(&agent).filter(|view| view.link.is_none()) else {
+                continue;
+            };
+            tracing::info!(%agent, "silent agent removed");
+            self.last_removed_order = self.last_removed_order.max(view.last_order());
+            self.agents.remove(&agent);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/src/entry/counters.rs
@@ -0,0 +1,30 @@
+//! Counters of an entry.
+
+/// Counters since the start of the process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EntryCounters {
+    /// Submissions that reached the state machine, repeated ones included.
+    pub arrived: u64,
+    /// Jobs answered as completed.
+    pub completed: u64,
+    /// Jobs answered as failed.
+    pub failed: u64,
+    /// Jobs refused.
+    pub refused: u64,
+    /// Jobs refused after they had waited; `refused` includes them.
+    pub late_refusals: u64,
+    /// Jobs given up after they may have run.
+    pub interrupted: u64,
+    /// Jobs stopped because no caller waited for them any longer.
+    pub abandoned: u64,
+    /// Start orders issued.
+    pub start_orders: u64,
+    /// Start orders that did not start a run.
+    pub not_started: u64,
+    /// Runs that ended without a result: unlike the agent's `lost`, stopped runs are included.
+    pub lost_runs: u64,
+    /// Runs that were stopped as stuck.
+    pub stuck_runs: u64,
+    /// Times that this process was found to have been suspended.
+    pub suspensions: u64,
+}
--- a/crates/bulrushlatch_dispatch/src/entry/job_state.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/job_state.rs
@@ -76,6 +76,14 @@
     Done,
 }
 
+impl TaskState {
+    /// Returns the state of each task of a job that has just arrived, by step and index.
+    pub fn for_steps(request: &JobRequest) -> Vec<Vec<Self>> {
+        let steps = request.steps.iter();
+        steps.map(|step| vec![Self::default(); step.tasks as usize]).collect()
+    }
+}
+
 impl JobState {
     /// Returns the state of a task.
     pub fn task(&self, key: &TaskKey) -> Option<&TaskState> {
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -9,19 +9,25 @@
 //! - `completion`: handles ended runs and ends jobs
 //! - [`placement`]: chooses the agent that starts a task
 //! - [`subset`]: chooses the agents that an entry uses
+//! - `agents`: links to agents, choice of those in use, loss of an agent
 //! - [`agent_view`]: state of an agent as the entry knows it
 //! - [`job_state`]: state of an open job and its tasks
+//! - [`job_times`]: times that bound a job, as seen when it arrives
+//! - [`counters`]: counters for the metrics
 //! - [`run_times`], [`rates`]: learned run times, and rates of demanded and released CPU
 //! - [`caller_age`]: how long callers had waited before their request arrived
 //! - [`answer_cache`]: final answers for callers that submit a finished job again
 
 pub mod admission;
 pub mod agent_view;
+mod agents;
 pub mod answer_cache;
 pub mod caller_age;
 mod completion;
+pub mod counters;
 mod dispatch;
 pub mod job_state;
+pub mod job_times;
 pub mod late_limit;
 pub mod placement;
 pub mod rates;
@@ -45,7 +51,7 @@
     timing::Timing,
 };
 
-pub use self::submission::Submission;
+pub use self::{counters::EntryCounters, submission::Submission};
 
 use self::{
     agent_view::AgentView, answer_cache::AnswerCache, caller_age::CallerAges, job_state::JobState,
@@ -59,37 +65,6 @@
 const LAG_WEIGHT: f64 = 0.3;
 /// Interval at which the agents in use are chosen again while no new agent becomes usable.
 const SUBSET_INTERVAL: Duration = Duration::from_millis(100);
-/// Idle heartbeats without a frame beyond which an agent is not chosen for placement.
-const MAX_SILENT_HEARTBEATS: u32 = 2;
-
-/// Counters since the start of the process.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct EntryCounters {
-    /// Submissions that reached the state machine, repeated ones included.
-    pub arrived: u64,
-    /// Jobs answered as completed.
-    pub completed: u64,
-    /// Jobs answered as failed.
-    pub failed: u64,
-    /// Jobs refused.
-    pub refused: u64,
-    /// Jobs refused after they had waited; `refused` includes them.
-    pub late_refusals: u64,
-    /// Jobs given up after they may have run.
-    pub interrupted: u64,
-    /// Jobs stopped because no caller waited for them any longer.
-    pub abandoned: u64,
-    /// Start orders issued.
-    pub start_orders: u64,
-    /// Start orders that did not start a run.
-    pub not_started: u64,
-    /// Runs that ended without a result: unlike the agent's `lost`, stopped runs are included.
-    pub lost_runs: u64,
-    /// Runs that were stopped as stuck.
-    pub stuck_runs: u64,
-    /// Times that this process was found to have been suspended.
-    pub suspensions: u64,
-}
 
 /// State and decisions of an entry; its process does the input and output.
 #[derive(Debug)]
@@ -256,25 +231,6 @@
         self.agents.values_mut().filter_map(|agent| agent.frame(now, &timing)).collect()
     }
 
-    /// Handles a new link to an agent.
-    pub fn link_up(&mut self, now: BootTime, agent: ProcessId, link: LinkId) {
-        self.detect_suspension(now);
-        tracing::info!(%agent, link, "agent linked");
-        let last_order = self.last_removed_order;
-        let view =
-            self.agents.entry(agent).or_insert_with(|| AgentView::new(link, now, last_order));
-        view.link_up(link);
-    }
-
-    /// Handles the loss of a link to an agent.
-    pub fn link_down(&mut self, now: BootTime, agent: &ProcessId, link: LinkId) {
-        self.detect_suspension(now);
-        if let Some(view) = self.agents.get_mut(agent) {
-            view.link_down(link);
-            tracing::info!(%agent, link, runs = view.runs.len(), "agent's link closed");
-        }
-    }
-
     /// Handles a frame from an agent.
     ///
     /// A frame on a link that has been replaced is out of date and ignored.
@@ -348,54 +304,4 @@
         );
         self.give_up_open_jobs(now);
     }
-
-    /// Chooses the agents at which tasks are placed; an agent that still has runs stays in use.
-    fn update_agents_in_use(&mut self, now: BootTime) {
-        self.subset_chosen_at = now;
-        let max_silence = self.timing.idle_heartbeat() * MAX_SILENT_HEARTBEATS;
-        let usable = self.agents.iter().filter(|(_, view)| {
-            let is_recent = now.saturating_sub(view.received_at) <= max_silence;
-            view.link.is_some() && view.offer.accepts && is_recent
-        });
-        let candidates = usable.map(|(agent, view)| subset::Candidate {
-            agent,
-            service: &view.profile.service,
-            is_in_own_zone: view.profile.zone == self.zone,
-        });
-        let chosen: BTreeSet<ProcessId> =
-            subset::choose(self.seed, candidates).into_iter().cloned().collect();
-        for (agent, view) in &mut self.agents {
-            view.set_in_use(chosen.contains(agent) || !view.runs.is_empty());
-        }
-    }
-
-    /// Returns the estimated number of entries that use each agent, this one included.
-    fn entries_per_agent(&self) -> f64 {
-        let linked = self.agents.values().filter(|view| view.link.is_some()).count();
-        let in_use = self.agents.values().filter(|view| view.is_in_use).count();
-        let share = in_use as f64 / linked.max(1) as f64;
-        (f64::from(self.entry_count) * share).max(1.0)
-    }
-
-    /// Ends the runs at agents that have been silent for so long that none can be left there, and
-    /// removes those agents that have no link.
-    fn end_runs_at_silent_agents(&mut self, now: BootTime) {
-        let timing = self.timing;
-        let silent = self.agents.iter().filter(|(_, view)| view.have_runs_ended(now, &timing));
-        let silent: Vec<ProcessId> = silent.map(|(agent, _)| agent.clone()).collect();
-        for agent in silent {
-            let Some(view) = self.agents.get(&agent) else { continue };
-            let runs: Vec<_> =
-                view.runs.iter().map(|(task, run)| (task.clone(), run.order)).collect();
-            for (task, order) in runs {
-                self.handle_run_end(now, &agent, &task, order, RunOutcome::Lost, Duration::ZERO);
-            }
-            let Some(view) = self.agents.get(&agent).filter(|view| view.link.is_none()) else {
-                continue;
-            };
-            tracing::info!(%agent, "silent agent removed");
-            self.last_removed_order = self.last_removed_order.max(view.last_order());
-            self.agents.remove(&agent);
-        }
-    }
 }
--- a/crates/bulrushlatch_dispatch/src/entry/submission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/submission.rs
@@ -14,6 +14,7 @@
     Entry,
     admission::{self, Admission, Demand, Supply},
     job_state::{JobState, TaskState},
+    job_times::{self, JobTimes},
     waiting::{WaitClass, WaitingTask},
 };
 
@@ -21,14 +22,9 @@
 const DEFAULT_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Largest number of tasks of a job.
 const MAX_TASKS_PER_JOB: u64 = 10_000;
-/// Number of latency objectives within which an answer is of use.
-const LATE_OBJECTIVES: u32 = 3;
 /// Share of the time after which callers submit again, below which a difference between callers is
 /// no sign of an earlier submission.
 const MIN_RESEND_SHARE: f64 = 0.75;
-/// Time reserved for messages in a job's latency objective.
-const MESSAGE_TIME_RESERVE: Duration = Duration::from_millis(8);
-
 /// A job with its caller and route.
 #[derive(Debug)]
 pub struct Submission {
@@ -127,26 +123,12 @@
     fn admit(&mut self, now: BootTime, submission: Submission) {
         let Submission { caller, route, request, remaining_time } = submission;
         let job = request.id.clone();
-        let critical_path = self.expected_critical_path(&route, &request);
-        let objective = route.objective(critical_path);
-        let useful_time = objective * LATE_OBJECTIVES;
-        let waited = remaining_time.map_or(Duration::ZERO, |remaining| {
-            let min_age = self.timing.resend_after.mul_f64(MIN_RESEND_SHARE);
-            self.caller_ages.record(&route.name, remaining, useful_time, min_age)
-        });
-        let max_wait = |until: Duration| {
-            until.saturating_sub(critical_path).saturating_sub(MESSAGE_TIME_RESERVE)
-        };
-        let is_overdue = waited + critical_path > useful_time;
-        let useful_time = match remaining_time {
-            Some(remaining) if is_overdue => remaining,
-            _ => useful_time.saturating_sub(waited),
-        };
+        let times = self.job_times(&route, &request, remaining_time);
         let demand = Demand {
             cpu_millis: request.initial_demand().cpu_millis,
-            max_wait: max_wait(objective.saturating_sub(waited)),
-            max_late_wait: max_wait(useful_time),
-            is_late: waited + critical_path > objective,
+            max_wait: times.max_wait(),
+            max_late_wait: times.max_late_wait(),
+            is_late: times.is_late(),
         };
         self.demands.record(now, &route.name, demand.cpu_millis);
         let has_targets =
@@ -155,43 +137,66 @@
             self.refuse(now, caller, &job, Refusal::NoTarget, Duration::ZERO);
             return;
         }
-        let supply = self.supply(now, &route, critical_path, demand.max_late_wait);
+        let supply = self.supply(now, &route, times.critical_path, demand.max_late_wait);
         let admission = match admission::decide(&demand, &supply) {
             // Targets are about to be found.
             Admission::Refuse { wait } if !has_targets => Admission::Accept { wait },
             admission => admission,
         };
-        self.log_admission(&job, &route, &demand, &supply, waited, admission);
-        if let Admission::Refuse { wait } = admission {
-            self.refuse(now, caller, &job, Refusal::Overloaded, wait);
-            return;
-        }
-        let steps =
-            request.steps.iter().map(|step| vec![TaskState::default(); step.tasks as usize]);
-        let mut state = JobState {
-            steps: steps.collect(),
+        self.log_admission(&job, &route, &demand, &supply, times.waited, admission);
+        let class = match admission {
+            Admission::Accept { .. } => WaitClass::InTime,
+            Admission::AcceptLate { .. } if times.is_overdue => WaitClass::Overdue,
+            Admission::AcceptLate { .. } => WaitClass::Late,
+            Admission::Refuse { wait } => {
+                self.refuse(now, caller, &job, Refusal::Overloaded, wait);
+                return;
+            }
+        };
+        let state = JobState {
+            steps: TaskState::for_steps(&request),
             callers: vec![caller],
             arrived_at: now,
             deadline_at: remaining_time.map_or(BootTime::MAX, |remaining| now + remaining),
-            objective_at: now + objective.saturating_sub(waited),
-            useful_until: now + useful_time,
-            class: match admission {
-                Admission::AcceptLate { .. } if is_overdue => WaitClass::Overdue,
-                Admission::AcceptLate { .. } => WaitClass::Late,
-                _ => WaitClass::InTime,
-            },
+            objective_at: now + times.objective,
+            useful_until: now + times.useful,
+            class,
             has_run: false,
             request,
             route,
         };
-        let due_at = if state.is_late() { state.useful_until } else { now + demand.max_wait };
-        let due_at = due_at.min(state.deadline_at);
-        let class = state.class;
-        for key in state.unblock_tasks() {
+        self.queue_job(now, state, now + demand.max_wait);
+    }
+
+    /// Returns the times that bound a job that has just arrived.
+    fn job_times(
+        &mut self,
+        route: &Route,
+        request: &JobRequest,
+        remaining: Option<Duration>,
+    ) -> JobTimes {
+        let critical_path = self.expected_critical_path(route, request);
+        let objective = route.objective(critical_path);
+        let waited = remaining.map_or(Duration::ZERO, |remaining| {
+            let min_age = self.timing.resend_after.mul_f64(MIN_RESEND_SHARE);
+            let useful_time = job_times::useful_time(objective);
+            self.caller_ages.record(&route.name, remaining, useful_time, min_age)
+        });
+        JobTimes::new(critical_path, objective, waited, remaining)
+    }
+
+    /// Opens an accepted job and places its initial tasks as far as there is capacity.
+    fn queue_job(&mut self, now: BootTime, mut job: JobState, latest_start: BootTime) {
+        let due_at = if job.is_late() { job.useful_until } else { latest_start };
+        let due_at = due_at.min(job.deadline_at);
+        let class = job.class;
+        for key in job.unblock_tasks() {
             self.waiting.insert(WaitingTask { class, due_at, key });
         }
-        self.callers.insert(caller, job.clone());
-        self.jobs.insert(job, state);
+        for &caller in &job.callers {
+            self.callers.insert(caller, job.request.id.clone());
+        }
+        self.jobs.insert(job.request.id.clone(), job);
         self.place_waiting_tasks(now);
     }
 
