--- a/crates/bulrushlatch_dispatch/src/entry/caller_age.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/caller_age.rs
@@ -13,15 +13,15 @@
 use crate::ids::RouteName;
 
 /// Number of recent requests of a route that are compared.
-const MAX_SAMPLES: usize = 32;
+const MAX_SAMPLES: usize = 64;
 /// Number of requests of a route before which nothing is concluded.
-const MIN_SAMPLES: usize = 8;
+const MIN_SAMPLES: usize = 16;
 /// Position of the typical value among the sorted ones.
 const TYPICAL_QUANTILE: f64 = 0.75;
 /// Position of the value whose distance from the typical one is the spread.
-const SPREAD_QUANTILE: f64 = 0.9;
+const SPREAD_QUANTILE: f64 = 0.95;
 /// Distance from the typical value, in spreads, up to which a difference may be chance.
-const MAX_CHANCE_SPREADS: f64 = 6.0;
+const MAX_CHANCE_SPREADS: f64 = 5.0;
 /// Largest number of routes that are learned; callers of others count as new.
 const MAX_ROUTES: usize = 4_000;
 
