--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -68,8 +68,8 @@
         true
     }
 
-    /// Moves the other waiting tasks of a late job of which a task was placed to the front of those
-    /// in time: what has started is to end soon.
+    /// Moves the other waiting tasks of a late job of which a task was placed among those in time,
+    /// where the next pass finds them: what has started is to end soon.
     fn begin_late_job(&mut self, now: BootTime, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.class = WaitClass::InTime;
--- a/crates/bulrushlatch_dispatch/src/entry/submission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/submission.rs
@@ -25,6 +25,7 @@
 /// Share of the time after which callers submit again, below which a difference between callers is
 /// no sign of an earlier submission.
 const MIN_RESEND_SHARE: f64 = 0.75;
+
 /// A job with its caller and route.
 #[derive(Debug)]
 pub struct Submission {
