--- a/crates/bulrushlatch_dispatch/src/entry/admission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/admission.rs
@@ -32,8 +32,6 @@
     pub max_wait: Duration,
     /// Longest wait for a start after which the answer is late, but still of use.
     pub max_late_wait: Duration,
-    /// Whether the answer will be late even without a wait.
-    pub is_late: bool,
 }
 
 /// Capacity available to a job.
@@ -87,9 +85,9 @@
 /// Decides whether to accept a job from what is known when it arrives.
 pub fn decide(demand: &Demand, supply: &Supply) -> Admission {
     let wait = expected_wait(demand, supply);
-    if !demand.is_late && wait <= demand.max_wait.mul_f64(WAIT_SHARE) {
+    if wait <= demand.max_wait.mul_f64(WAIT_SHARE) {
         Admission::Accept { wait }
-    } else if wait.is_zero() || fits_late(demand, supply) {
+    } else if fits_late(demand, supply) {
         Admission::AcceptLate { wait }
     } else {
         Admission::Refuse { wait }
--- a/crates/bulrushlatch_dispatch/src/entry/job_state.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/job_state.rs
@@ -97,7 +97,7 @@
 
     /// Returns whether it has not started and will miss its objective.
     pub fn is_late(&self) -> bool {
-        matches!(self.class, WaitClass::Late | WaitClass::Overdue)
+        self.class == WaitClass::Late
     }
 
     /// Returns whether every task is done.
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -15,14 +15,12 @@
 //! - [`job_times`]: times that bound a job, as seen when it arrives
 //! - [`counters`]: counters for the metrics
 //! - [`run_times`], [`rates`]: learned run times, and rates of demanded and released CPU
-//! - [`caller_age`]: how long callers had waited before their request arrived
 //! - [`answer_cache`]: final answers for callers that submit a finished job again
 
 pub mod admission;
 pub mod agent_view;
 mod agents;
 pub mod answer_cache;
-pub mod caller_age;
 mod completion;
 pub mod counters;
 mod dispatch;
@@ -54,8 +52,8 @@
 pub use self::{counters::EntryCounters, submission::Submission};
 
 use self::{
-    agent_view::AgentView, answer_cache::AnswerCache, caller_age::CallerAges, job_state::JobState,
-    late_limit::LateLimit, rates::RouteDemands, run_times::RunTimes, waiting::WaitingTask,
+    agent_view::AgentView, answer_cache::AnswerCache, job_state::JobState, late_limit::LateLimit,
+    rates::RouteDemands, run_times::RunTimes, waiting::WaitingTask,
 };
 
 /// Average lag of the tick timer above which no new jobs are accepted: heartbeats are due every
@@ -89,8 +87,6 @@
     late_limit: LateLimit,
     answer_cache: AnswerCache,
     run_times: RunTimes,
-    /// How long callers had waited before their requests arrived.
-    caller_ages: CallerAges,
     /// CPU demanded by arriving jobs.
     demands: RouteDemands,
     /// Number of entries that share the targets, this one included.
@@ -125,7 +121,6 @@
             late_limit: LateLimit::default(),
             answer_cache: AnswerCache::default(),
             run_times: RunTimes::default(),
-            caller_ages: CallerAges::default(),
             demands: RouteDemands::default(),
             entry_count: 1,
             is_shutting_down: false,
--- a/crates/bulrushlatch_dispatch/src/entry/submission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/submission.rs
@@ -14,7 +14,7 @@
     Entry,
     admission::{self, Admission, Demand, Supply},
     job_state::{JobState, TaskState},
-    job_times::{self, JobTimes},
+    job_times::JobTimes,
     waiting::{WaitClass, WaitingTask},
 };
 
@@ -22,9 +22,6 @@
 const DEFAULT_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Largest number of tasks of a job.
 const MAX_TASKS_PER_JOB: u64 = 10_000;
-/// Share of the time after which callers submit again, below which a difference between callers is
-/// no sign of an earlier submission.
-const MIN_RESEND_SHARE: f64 = 0.75;
 
 /// A job with its caller and route.
 #[derive(Debug)]
@@ -124,12 +121,12 @@
     fn admit(&mut self, now: BootTime, submission: Submission) {
         let Submission { caller, route, request, remaining_time } = submission;
         let job = request.id.clone();
-        let times = self.job_times(&route, &request, remaining_time);
+        let critical_path = self.expected_critical_path(&route, &request);
+        let times = JobTimes::new(critical_path, route.objective(critical_path));
         let demand = Demand {
             cpu_millis: request.initial_demand().cpu_millis,
             max_wait: times.max_wait(),
             max_late_wait: times.max_late_wait(),
-            is_late: times.is_late(),
         };
         self.demands.record(now, &route.name, demand.cpu_millis);
         let has_targets =
@@ -144,10 +141,9 @@
             Admission::Refuse { wait } if !has_targets => Admission::Accept { wait },
             admission => admission,
         };
-        self.log_admission(&job, &route, &demand, &supply, times.waited, admission);
+        self.log_admission(&job, &route, &demand, &supply, admission);
         let class = match admission {
             Admission::Accept { .. } => WaitClass::InTime,
-            Admission::AcceptLate { .. } if times.is_overdue => WaitClass::Overdue,
             Admission::AcceptLate { .. } => WaitClass::Late,
             Admission::Refuse { wait } => {
                 self.refuse(now, caller, &job, Refusal::Overloaded, wait);
@@ -169,23 +165,6 @@
         self.queue_job(now, state, now + demand.max_wait);
     }
 
-    /// Returns the times that bound a job that has just arrived.
-    fn job_times(
-        &mut self,
-        route: &Route,
-        request: &JobRequest,
-        remaining: Option<Duration>,
-    ) -> JobTimes {
-        let critical_path = self.expected_critical_path(route, request);
-        let objective = route.objective(critical_path);
-        let waited = remaining.map_or(Duration::ZERO, |remaining| {
-            let min_age = self.timing.resend_after.mul_f64(MIN_RESEND_SHARE);
-            let useful_time = job_times::useful_time(objective);
-            self.caller_ages.record(&route.name, remaining, useful_time, min_age)
-        });
-        JobTimes::new(critical_path, objective, waited, remaining)
-    }
-
     /// Opens an accepted job and places its initial tasks as far as there is capacity.
     fn queue_job(&mut self, now: BootTime, mut job: JobState, latest_start: BootTime) {
         let due_at = if job.is_late() { job.useful_until } else { latest_start };
@@ -209,7 +188,6 @@
         route: &Route,
         demand: &Demand,
         supply: &Supply,
-        waited: Duration,
         admission: Admission,
     ) {
         let (decision, wait) = match admission {
@@ -223,7 +201,6 @@
             version = self.version(),
             cpu_millis = demand.cpu_millis,
             patience_ms = demand.max_wait.as_millis() as u64,
-            waited_before_ms = waited.as_millis() as u64,
             free_cpu_millis = supply.free_cpu_millis,
             queued_cpu_millis = supply.queued_cpu_millis,
             late_cpu_millis = supply.late_cpu_millis,
--- a/crates/bulrushlatch_dispatch/src/entry/supply.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/supply.rs
@@ -141,7 +141,7 @@
             let Some(step) = job.request.steps.get(task.key.step as usize) else { continue };
             let cpu_millis = step.size.cpu_millis;
             lengths.cpu_millis += cpu_millis;
-            if matches!(task.class, WaitClass::Late | WaitClass::Overdue) {
+            if task.class == WaitClass::Late {
                 lengths.late_cpu_millis += cpu_millis;
             } else if job.route.name == route.name {
                 lengths.same_route_cpu_millis += cpu_millis;
--- a/crates/bulrushlatch_dispatch/src/entry/waiting.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/waiting.rs
@@ -11,9 +11,6 @@
     InTime,
     /// Its job has not started and will be late.
     Late,
-    /// Its job was late when it arrived, since its caller had waited before, and its answer will be
-    /// of little use.
-    Overdue,
 }
 
 /// A task that waits for capacity. Tasks are placed in ascending order.
@@ -22,7 +19,7 @@
     /// Class of the task.
     pub class: WaitClass,
     /// Rank within the class: for initial tasks the latest start that meets the objective, or for
-    /// late and overdue ones the time after which an answer is of no use; for tasks of later steps the time of
+    /// late ones the time after which an answer is of no use; for tasks of later steps the time of
     /// the job's objective; for tasks to be started again the job's arrival.
     pub due_at: BootTime,
     /// The task.
