--- a/crates/bulrushlatch_dispatch/src/entry/admission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/admission.rs
@@ -39,7 +39,8 @@
 pub struct Supply {
     /// Free CPU at targets that accept tasks, in thousandths of a core, less the reserve.
     pub free_cpu_millis: u64,
-    /// CPU that the waiting tasks of the same route need, in thousandths of a core.
+    /// CPU that the waiting tasks of the same route need, without those of late jobs, in thousandths
+    /// of a core.
     pub queued_cpu_millis: u64,
     /// This entry's part of the CPU that ending runs release per second, in thousandths of a core.
     pub released_cpu_millis_per_s: f64,
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -14,7 +14,7 @@
 //! - [`job_state`]: state of an open job and its tasks
 //! - [`job_times`]: times that bound a job, as seen when it arrives
 //! - [`counters`]: counters for the metrics
-//! - [`run_times`], [`rates`]: learned run times, and rates of demanded and released CPU
+//! - [`run_times`], [`rates`]: learned run times, and rates of demanded CPU
 //! - [`answer_cache`]: final answers for callers that submit a finished job again
 
 pub mod admission;
--- a/crates/bulrushlatch_dispatch/src/entry/rates.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/rates.rs
@@ -1,4 +1,4 @@
-//! Rates at which jobs demand CPU and ending runs release it.
+//! Rates at which jobs demand CPU.
 
 use std::{
     collections::{BTreeMap, VecDeque},
--- a/crates/bulrushlatch_dispatch/src/entry/supply.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/supply.rs
@@ -46,7 +46,8 @@
         self.available_targets(now, route).any(|agent| step.fits(&agent.profile))
     }
 
-    /// Returns the capacity available to a route's jobs, whose tasks take `run_time`.
+    /// Returns the capacity available to a route's jobs, whose tasks take `run_time`. They may wait in
+    /// the late class only if there was room for late jobs in the last `max_late_wait`.
     pub(super) fn supply(
         &self,
         now: BootTime,
