Cordoned zones: no new task starts in a zone that operators have closed

Entries follow the operators' stream and tell agents and each other; the offset in the stream orders the states. Agents refuse starts by themselves, before each sending, and read the store only while no linked entry follows it. Links agree on a version of the frames; cordons go only to peers that know them, and frames of version 3 stay byte for byte as production has them.

Also: a start that is not sent again, although an earlier sending went unanswered, is stopped and no longer reported as not started.

--- a/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
@@ -44,15 +44,19 @@
 
 impl Agent {
     /// Returns the content of a start order to send now, or `None` if it must not be sent; the run
-    /// is then reported as not started.
+    /// is then reported as not started, or stopped if an earlier order may have started it.
     pub fn prepare_start(&mut self, now: BootTime, task: &TaskKey) -> Option<StartRequest> {
         let run = self.runs.get(task)?;
         if run.is_stopping() {
-            self.finish(now, task, RunOutcome::NotStarted(Obstacle::StaleOrder));
+            self.abandon_start(now, task, Obstacle::StaleOrder);
+            return None;
+        }
+        if self.is_cordoned() {
+            self.abandon_start(now, task, Obstacle::Unavailable);
             return None;
         }
         let Some(lease_until_ms) = self.prepare_renewal(now) else {
-            self.finish(now, task, RunOutcome::NotStarted(Obstacle::Unavailable));
+            self.abandon_start(now, task, Obstacle::Unavailable);
             return None;
         };
         let target = self.target_id()?.clone();
@@ -62,6 +66,16 @@
         Some(StartRequest { target, task: task.clone(), attempt, payload, lease_until_ms })
     }
 
+    /// Ends a run whose start order is not sent. If an earlier order of the attempt went unanswered,
+    /// the run may exist, and is stopped.
+    fn abandon_start(&mut self, now: BootTime, task: &TaskKey, obstacle: Obstacle) {
+        if self.runs.get(task).is_some_and(|run| run.unanswered_starts > 0) {
+            self.request_stop(now, task);
+        } else {
+            self.finish(now, task, RunOutcome::NotStarted(obstacle));
+        }
+    }
+
     /// Handles the answer to a start order.
     pub fn handle_start_reply(
         &mut self,
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -25,6 +25,7 @@
 
 use crate::{
     clock::BootTime,
+    cordon::Cordons,
     ids::{Attempt, LinkId, ProcessId, ReportNumber, TaskKey},
     size::Size,
     timing::Timing,
@@ -100,6 +101,7 @@
     /// accepts only reports with higher numbers than it has seen.
     last_removed_report: ReportNumber,
     health: Health,
+    cordons: Cordons,
     is_shutting_down: bool,
     counters: AgentCounters,
     /// Orders to the target that the process has not taken yet.
@@ -118,6 +120,7 @@
             sessions: BTreeMap::new(),
             last_removed_report: 0,
             health: Health::default(),
+            cordons: Cordons::default(),
             is_shutting_down: false,
             counters: AgentCounters::default(),
             target_orders: Vec::new(),
@@ -150,6 +153,32 @@
         self.mark_pending_update();
     }
 
+    /// Returns the newest cordons that are known here.
+    pub fn cordons(&self) -> &Cordons {
+        &self.cordons
+    }
+
+    /// Applies `update` to the known cordons. While the target's zone is cordoned, start orders are
+    /// refused; runs continue. `source` is logged with a change.
+    pub fn update_cordons(
+        &mut self,
+        source: &'static str,
+        update: impl FnOnce(&mut Cordons) -> bool,
+    ) {
+        if !update(&mut self.cordons) {
+            return;
+        }
+        let Cordons { offset, zones } = &self.cordons;
+        let is_cordoned = self.is_cordoned();
+        tracing::info!(offset, ?zones, is_cordoned, source, "cordoned zones changed");
+        self.mark_pending_update();
+    }
+
+    /// Returns whether the target's zone is cordoned.
+    fn is_cordoned(&self) -> bool {
+        self.target.as_ref().is_some_and(|target| self.cordons.contains(&target.announcement.zone))
+    }
+
     /// Returns the time for which the target may hold the next status poll open; zero without a
     /// target.
     pub fn poll_wait(&self, now: BootTime) -> Duration {
@@ -241,7 +270,7 @@
         // Unknown runs occupy capacity, but their sizes are not known.
         let is_load_known = target.unknown_runs.is_empty();
         let is_staying = !self.is_shutting_down && !target.announcement.is_leaving;
-        is_answering && is_healthy && is_load_known && is_staying
+        is_answering && is_healthy && is_load_known && is_staying && !self.is_cordoned()
     }
 
     /// Stops the runs of silent entries, then returns the end of the lease to request: `None` while
--- a/crates/bulrushlatch_dispatch/src/agent/orders.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/orders.rs
@@ -102,7 +102,8 @@
         obstacle: Obstacle,
     ) {
         self.counters.not_started += 1;
-        tracing::info!(task = %start.task, %entry, %obstacle, "start refused");
+        let is_cordoned = self.is_cordoned();
+        tracing::info!(task = %start.task, %entry, %obstacle, is_cordoned, "start refused");
         let report = Report {
             number: 0,
             order,
--- a/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -41,6 +41,8 @@
     pub link: Option<LinkId>,
     /// Whether this entry places tasks at the agent.
     pub is_in_use: bool,
+    /// Whether the target's zone receives no new tasks.
+    pub is_cordoned: bool,
     /// Last received profile of the agent's target.
     pub profile: Profile,
     /// Last received offer.
@@ -71,6 +73,7 @@
         Self {
             link: Some(link),
             is_in_use: false,
+            is_cordoned: false,
             profile: Profile::default(),
             offer: Offer::default(),
             received_at: now,
@@ -153,9 +156,14 @@
         self.link.is_some() && self.is_synced && now.saturating_sub(self.received_at) <= limit
     }
 
+    /// Returns whether the agent accepts new tasks and its target's zone may receive them.
+    pub fn accepts_tasks(&self) -> bool {
+        self.offer.accepts && !self.is_cordoned
+    }
+
     /// Returns whether new tasks may be placed at the agent.
     pub fn is_available(&self, now: BootTime, timing: &Timing) -> bool {
-        self.is_in_use && self.offer.accepts && self.is_fresh(now, timing)
+        self.is_in_use && self.accepts_tasks() && self.is_fresh(now, timing)
     }
 
     /// Returns whether the agent has been silent for so long that none of this entry's runs can be
--- a/crates/bulrushlatch_dispatch/src/entry/agents.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agents.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     clock::BootTime,
+    cordon::Cordons,
     ids::{LinkId, ProcessId},
     outcome::RunOutcome,
 };
@@ -33,13 +34,39 @@
         }
     }
 
+    /// Returns the newest cordons that are known here.
+    pub fn cordons(&self) -> &Cordons {
+        &self.cordons
+    }
+
+    /// Applies `update` to the known cordons; returns whether the zones have changed. `source` is
+    /// logged with a change.
+    pub fn update_cordons(
+        &mut self,
+        now: BootTime,
+        source: &'static str,
+        update: impl FnOnce(&mut Cordons) -> bool,
+    ) -> bool {
+        if !update(&mut self.cordons) {
+            return false;
+        }
+        let Cordons { offset, zones } = &self.cordons;
+        tracing::info!(offset, ?zones, source, "cordoned zones changed");
+        for view in self.agents.values_mut() {
+            view.is_cordoned = self.cordons.contains(&view.profile.zone);
+        }
+        self.update_agents_in_use(now);
+        self.place_waiting_tasks(now);
+        true
+    }
+
     /// Chooses the agents at which tasks are placed; an agent that still has runs stays in use.
     pub(super) fn update_agents_in_use(&mut self, now: BootTime) {
         self.subset_chosen_at = now;
         let max_silence = self.timing.idle_heartbeat() * MAX_SILENT_HEARTBEATS;
         let usable = self.agents.iter().filter(|(_, view)| {
             let is_recent = now.saturating_sub(view.received_at) <= max_silence;
-            view.link.is_some() && view.offer.accepts && is_recent
+            view.link.is_some() && view.accepts_tasks() && is_recent
         });
         let candidates = usable.map(|(agent, view)| subset::Candidate {
             agent,
--- a/crates/bulrushlatch_dispatch/src/entry/completion.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/completion.rs
@@ -41,6 +41,8 @@
         {
             view.runs.remove(key);
         }
+        // An agent that has ceased to accept tasks refuses them whatever they are.
+        let has_closed = self.agents.get(agent).is_some_and(|view| !view.accepts_tasks());
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let max_failed_runs = job.route.max_failed_runs;
         let Some(task) = job.task_mut(key) else { return };
@@ -79,9 +81,10 @@
             }
             RunOutcome::NotStarted(obstacle) => {
                 self.counters.not_started += 1;
-                if obstacle == Obstacle::NoCapacity {
+                if obstacle == Obstacle::NoCapacity || has_closed {
                     task.displaced_attempts += 1;
-                } else {
+                }
+                if obstacle != Obstacle::NoCapacity {
                     task.avoided_agents.push(agent.clone());
                 }
                 self.requeue(now, key);
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -44,6 +44,7 @@
 
 use crate::{
     clock::BootTime,
+    cordon::Cordons,
     frame::{AgentFrame, EntryFrame},
     ids::{CallerId, JobId, LinkId, OrderNumber, ProcessId, ServiceName},
     outcome::{Answer, Obstacle, RunOutcome},
@@ -78,6 +79,7 @@
     subset_chosen_at: BootTime,
     table: Option<RoutingTable>,
     agents: BTreeMap<ProcessId, AgentView>,
+    cordons: Cordons,
     /// Highest order number issued to a removed agent. The agent may still know this entry, and
     /// then ignores orders whose numbers are not above those it has seen.
     last_removed_order: OrderNumber,
@@ -118,6 +120,7 @@
             subset_chosen_at: BootTime::ZERO,
             table: None,
             agents: BTreeMap::new(),
+            cordons: Cordons::default(),
             last_removed_order: 0,
             jobs: BTreeMap::new(),
             callers: BTreeMap::new(),
@@ -242,6 +245,9 @@
         }
         let accepted_before = view.offer.accepts;
         let undelivered = view.receive(now, &frame);
+        if frame.profile.is_some() {
+            view.is_cordoned = self.cordons.contains(&view.profile.zone);
+        }
         let is_in_use = view.is_in_use;
         if frame.profile.is_some() || (frame.offer.accepts && !is_in_use && !accepted_before) {
             self.update_agents_in_use(now);
--- a/crates/bulrushlatch_dispatch/src/frame.rs
+++ b/crates/bulrushlatch_dispatch/src/frame.rs
@@ -11,13 +11,21 @@
     size::Size,
 };
 
-/// Version of the frames; processes with different versions refuse to link.
-pub const FRAME_VERSION: u32 = 3;
+/// Oldest version of the frames that this build speaks: that of the previous build in production.
+pub const OLDEST_FRAME_VERSION: u32 = 3;
+/// Newest version of the frames that this build speaks. Version 4 adds cordons.
+pub const NEWEST_FRAME_VERSION: u32 = 4;
+/// First version with frames that carry cordons.
+pub const CORDON_FRAME_VERSION: u32 = 4;
 
 /// First frame in both directions of a link.
+///
+/// Its encoding is the same in all versions, so that processes of different builds can agree on a
+/// version. Since version 4, [`Hello::newest_version`] follows the other fields; builds of version 3
+/// ignore bytes after the last field that they know.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
-    /// [`FRAME_VERSION`] of the sender.
+    /// Oldest version of the frames that the sender speaks.
     pub version: u32,
     /// The sender.
     pub process: ProcessId,
@@ -25,6 +33,23 @@
     pub role: Role,
     /// Address on which an entry listens for links; `None` for an agent.
     pub address: Option<SocketAddr>,
+    /// Newest version of the frames that the sender speaks; the link appends it to the encoding.
+    #[serde(skip)]
+    pub newest_version: u32,
+}
+
+impl Hello {
+    /// Returns the first frame of a process of this build.
+    pub fn new(process: ProcessId, role: Role, address: Option<SocketAddr>) -> Self {
+        let (version, newest_version) = (OLDEST_FRAME_VERSION, NEWEST_FRAME_VERSION);
+        Self { version, process, role, address, newest_version }
+    }
+
+    /// Returns the newest version that the sender and this build speak, if there is one.
+    pub fn common_version(&self) -> Option<u32> {
+        let common = self.newest_version.min(NEWEST_FRAME_VERSION);
+        (common >= self.version.max(OLDEST_FRAME_VERSION)).then_some(common)
+    }
 }
 
 /// Role of a process.
--- a/crates/bulrushlatch_dispatch/src/ids.rs
+++ b/crates/bulrushlatch_dispatch/src/ids.rs
@@ -10,6 +10,8 @@
 pub type RouteName = Arc<str>;
 /// Name of a service, the pool of targets that a route uses.
 pub type ServiceName = String;
+/// Name of an availability zone.
+pub type ZoneName = String;
 /// Number of a link, unique in its process.
 pub type LinkId = u64;
 /// Number of a waiting caller, unique in its process.
--- a/crates/bulrushlatch_dispatch/src/lib.rs
+++ b/crates/bulrushlatch_dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`agent`]: the process beside a target, which starts and stops tasks there
 //! - [`entry`]: the process that accepts jobs, places their tasks and answers callers
 //! - [`directory`]: discovery of entries
+//! - [`cordon`]: availability zones that receive no new tasks
 //! - [`configuration_fetch`]: when an entry requests a configuration from a peer
 //! - [`configuration_transfer`]: the pieces in which it is sent
 //! - [`served_peers`]: how many peers are sent pieces at the same time
@@ -19,6 +20,7 @@
 pub mod clock;
 pub mod configuration_fetch;
 pub mod configuration_transfer;
+pub mod cordon;
 pub mod directory;
 pub mod entry;
 pub mod frame;
--- a/crates/bulrushlatch_dispatch/tests/agent/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/main.rs
@@ -1,5 +1,6 @@
 //! Tests of single decisions of an agent.
 
+mod cordon;
 mod fixture;
 
 use bulrushlatch_dispatch::{
--- a/crates/bulrushlatch_node/src/agent/links.rs
+++ b/crates/bulrushlatch_node/src/agent/links.rs
@@ -4,7 +4,7 @@
 
 use bulrushlatch_dispatch::{
     clock::{BootClock, BootTime},
-    frame::{FRAME_VERSION, Hello, Role},
+    frame::{Hello, Role},
 };
 
 use super::AgentProcess;
@@ -30,8 +30,7 @@
     }
 
     fn hello(&self) -> Hello {
-        let process = self.id.clone();
-        Hello { version: FRAME_VERSION, process, role: Role::Agent, address: None }
+        Hello::new(self.id.clone(), Role::Agent, None)
     }
 
     async fn serve(self: Rc<Self>, peer: Hello, sender: LinkSender, mut receiver: LinkReceiver) {
@@ -51,11 +50,13 @@
                     self.with_core(|core, now| core.receive(now, &entry, link, frame));
                 }
                 Frame::Entries(entries) => self.add_entries(&entries),
+                Frame::Cordons(notice) => self.handle_cordon_notice(link, notice),
                 Frame::Hello(_) | Frame::Agent(_) | Frame::Peer(_) => {}
             }
         }
         self.links.borrow_mut().remove(&link);
         self.with_core(|core, _| core.link_down(&entry, link));
+        self.set_current(link, false);
         tracing::info!(%entry, link, "link to entry closed");
     }
 }
--- a/crates/bulrushlatch_node/src/agent/mod.rs
+++ b/crates/bulrushlatch_node/src/agent/mod.rs
@@ -1,16 +1,18 @@
 //! Process that runs tasks at one target.
 //!
 //! - [`flags`]: command line
+//! - `cordon_follower`: cordoned zones, from entries or the store
 //! - [`links`]: links to entries
 //! - [`target_driver`]: orders and status polls to the target
 
+mod cordon_follower;
 pub mod flags;
 pub mod links;
 pub mod target_driver;
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -63,6 +65,10 @@
     link_manager: LinkManager,
     /// Id given to the newest link.
     last_link: Cell<LinkId>,
+    /// Links to entries that follow the operators' stream.
+    current_links: RefCell<BTreeSet<LinkId>>,
+    /// Wakes [`AgentProcess::follow_cordons`].
+    current_links_changed: Notify,
     /// Wakes [`AgentProcess::send_pending_updates`].
     update_pending: Notify,
     /// Wakes [`AgentProcess::poll_target`].
@@ -99,6 +105,8 @@
             links: RefCell::default(),
             link_manager: LinkManager::new(&common.seeds, None),
             last_link: Cell::new(0),
+            current_links: RefCell::default(),
+            current_links_changed: Notify::new(),
             update_pending: Notify::new(),
             target_found: Notify::new(),
             unexpected_address: Cell::new(None),
@@ -109,6 +117,7 @@
         tokio::task::spawn_local(http_server::serve(listener, handler));
         tokio::task::spawn_local(maintain_links(Rc::clone(&process)));
         tokio::task::spawn_local(Rc::clone(&process).read_entries());
+        tokio::task::spawn_local(Rc::clone(&process).follow_cordons());
         tokio::task::spawn_local(Rc::clone(&process).poll_target());
         tokio::task::spawn_local(Rc::clone(&process).send_pending_updates());
         metrics::serve(&process, process.settings.common.metrics_listen).await;
@@ -260,7 +269,14 @@
         );
         metrics::add_gauges(
             &mut registry,
-            &[("links", "Open links to entries", self.links.borrow().len() as u64)],
+            &[
+                ("links", "Open links to entries", self.links.borrow().len() as u64),
+                (
+                    "cordoned_zones",
+                    "Zones that receive no new tasks",
+                    core.cordons().zones.len() as u64,
+                ),
+            ],
         );
         registry
     }
--- a/crates/bulrushlatch_node/src/entry/links.rs
+++ b/crates/bulrushlatch_node/src/entry/links.rs
@@ -4,7 +4,7 @@
 
 use bulrushlatch_dispatch::{
     clock::{BootClock, BootTime},
-    frame::{FRAME_VERSION, Hello, PeerFrame, Role},
+    frame::{Hello, PeerFrame, Role},
     ids::{JobId, LinkId, ProcessId},
 };
 use tokio::net::TcpListener;
@@ -38,12 +38,7 @@
     }
 
     fn hello(&self) -> Hello {
-        Hello {
-            version: FRAME_VERSION,
-            process: self.id.clone(),
-            role: Role::Entry,
-            address: Some(self.settings.link_address),
-        }
+        Hello::new(self.id.clone(), Role::Entry, Some(self.settings.link_address))
     }
 
     async fn serve(self: Rc<Self>, peer: Hello, sender: LinkSender, receiver: LinkReceiver) {
@@ -67,7 +62,7 @@
     /// Exchanges hellos on a new link, then serves it until it closes.
     async fn accept_link(self: Rc<Self>, sender: LinkSender, mut receiver: LinkReceiver) {
         sender.send(Frame::Hello(self.hello()));
-        let Some(hello) = receiver.receive_hello(HELLO_TIMEOUT).await else { return };
+        let Some(hello) = receiver.receive_hello(&sender, HELLO_TIMEOUT).await else { return };
         match (hello.role, hello.address) {
             (Role::Agent, _) => self.serve_agent(hello.process, sender, receiver).await,
             (Role::Entry, Some(_)) => self.serve(hello, sender, receiver).await,
@@ -79,6 +74,7 @@
         let link = self.next_id();
         self.links.borrow_mut().insert(link, sender);
         self.with_core(|core, now| core.link_up(now, agent.clone(), link));
+        self.send_cordons(link);
         self.send(link, Frame::Entries(self.known_entries()));
         while let Some(frame) = receiver.receive().await {
             if !self.links.borrow().contains_key(&link) {
@@ -147,6 +143,7 @@
                     match frame {
                         Some(Frame::Peer(frame)) => self.handle_peer_frame(link, frame),
                         Some(Frame::Entries(entries)) => self.add_entries(entries),
+                        Some(Frame::Cordons(notice)) => self.handle_cordon_notice(notice),
                         Some(_) => {}
                         None => break,
                     }
@@ -178,6 +175,7 @@
     fn send_first_frames(&self, link: LinkId) {
         self.send(link, Frame::Peer(self.peer_frame()));
         self.send(link, Frame::Entries(self.known_entries()));
+        self.send_cordons(link);
     }
 
     /// Adds the addresses that another entry has sent, and announces those that are new.
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -4,11 +4,13 @@
 //! - [`callers`]: requests from callers
 //! - [`links`]: links to agents and other entries
 //! - `configuration_exchange`: configurations that entries send each other
+//! - `cordon_notices`: cordoned zones, from the store to all linked processes
 //! - [`encoded_configuration`]: the form in which they are sent
 //! - [`store_watch`]: configuration and addresses from the platform's store
 
 pub mod callers;
 mod configuration_exchange;
+mod cordon_notices;
 pub mod encoded_configuration;
 pub mod flags;
 pub mod links;
@@ -77,6 +79,10 @@
     configuration_fetch: RefCell<ConfigurationFetch>,
     /// Entries to which the configuration is being sent.
     served_peers: RefCell<ServedPeers>,
+    /// When the operators' stream was last read successfully.
+    operators_read_at: Cell<BootTime>,
+    /// Whether that was recent, as told to linked processes.
+    is_current: Cell<bool>,
     /// Discovered addresses that are yet to be sent on all links.
     unannounced_entries: RefCell<Vec<SocketAddr>>,
     /// Wakes [`EntryProcess::announce_entries`].
@@ -145,6 +151,8 @@
             encoded_configuration: RefCell::default(),
             configuration_fetch: RefCell::default(),
             served_peers: RefCell::default(),
+            operators_read_at: Cell::new(BootTime::ZERO),
+            is_current: Cell::new(false),
             unannounced_entries: RefCell::default(),
             entry_discovered: Notify::new(),
             last_id: Cell::new(0),
@@ -193,6 +201,7 @@
     async fn tick_until(&self, token: &CancellationToken) {
         while !token.is_cancelled() {
             self.with_core(|core, now| core.tick(now));
+            self.check_store_contact();
             let due = self.clock.now() + TICK_INTERVAL;
             tokio::time::sleep(TICK_INTERVAL).await;
             self.with_core(|core, now| core.record_lag(now.saturating_sub(due)));
@@ -276,6 +285,11 @@
                 ("open_jobs", "Jobs being worked on", core.open_jobs() as u64),
                 ("waiting_tasks", "Tasks that wait for room", core.waiting_tasks() as u64),
                 ("version", "Configuration in force", core.version().unwrap_or_default()),
+                (
+                    "cordoned_zones",
+                    "Zones that receive no new tasks",
+                    core.cordons().zones.len() as u64,
+                ),
             ],
         );
         registry.register(
--- a/crates/bulrushlatch_node/src/entry/store_watch.rs
+++ b/crates/bulrushlatch_node/src/entry/store_watch.rs
@@ -29,6 +29,7 @@
             self.record_read(&mut is_available, &page);
             match page {
                 Ok(page) => {
+                    self.apply_cordon_records(&page, from.is_none());
                     from = Some(page.next_offset);
                     for record in page.records {
                         self.handle_configuration_record(record, "store");
--- a/crates/bulrushlatch_node/src/interface.rs
+++ b/crates/bulrushlatch_node/src/interface.rs
@@ -8,6 +8,7 @@
         StopOrder,
         target::{Announcement, PollError, StartReply, TargetId, TargetStatus, TargetTimeMs},
     },
+    cordon::CordonChange,
     ids::JobId,
     job::JobRequest,
     outcome::Answer,
@@ -141,7 +142,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Stream {
-    /// Configuration that operators publish; read-only.
+    /// Configuration and cordons that operators publish; read-only.
     Configuration,
     /// Link addresses of entries.
     Entries,
@@ -212,6 +213,14 @@
     ///
     /// Returns what is wrong with a malformed record.
     fn decode_routes(&self, record: &KeyedRecord) -> Result<Option<RoutingTable>, String>;
+
+    /// Decodes the change of a cordon in a record of [`Stream::Configuration`]; returns `None` if the
+    /// record is something else.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with a malformed record.
+    fn decode_cordon(&self, record: &KeyedRecord) -> Result<Option<CordonChange>, String>;
 }
 
 /// Returns the value of a `Retry-After` header: whole seconds, rounded up, at least one.
--- a/crates/bulrushlatch_node/src/lib.rs
+++ b/crates/bulrushlatch_node/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`agent`]: process that runs tasks at one target
 //! - [`interface`]: traits that a platform's adapter implements
 //! - [`http_client`], [`http_server`], [`link`], [`link_manager`]: connections
+//! - [`cordon_records`]: cordoned zones in the operators' records
 //! - [`call_gate`]: limits the calls to a server that leaves calls unanswered
 //! - [`read_rate`]: limits the rate at which responses are read
 //! - [`one_thread`]: single-threaded runtime of a process
@@ -12,6 +13,7 @@
 pub mod agent;
 pub mod boot_clock;
 pub mod call_gate;
+pub mod cordon_records;
 pub mod entry;
 pub mod http_client;
 pub mod http_server;
--- a/crates/bulrushlatch_node/src/link.rs
+++ b/crates/bulrushlatch_node/src/link.rs
@@ -1,8 +1,14 @@
 //! Links between processes: length-prefixed frames over TCP, encoded with postcard.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::Cell, net::SocketAddr, time::Duration};
 
-use bulrushlatch_dispatch::frame::{AgentFrame, EntryFrame, FRAME_VERSION, Hello, PeerFrame};
+use bulrushlatch_dispatch::{
+    cordon::CordonNotice,
+    frame::{
+        AgentFrame, CORDON_FRAME_VERSION, EntryFrame, Hello, NEWEST_FRAME_VERSION,
+        OLDEST_FRAME_VERSION, PeerFrame,
+    },
+};
 use futures_util::{SinkExt, StreamExt};
 use hyper::body::Bytes;
 use serde::{Deserialize, Serialize};
@@ -40,19 +46,74 @@
     Peer(PeerFrame),
     /// From an entry to an agent or another entry: link addresses of all entries it knows.
     Entries(Vec<SocketAddr>),
+    /// From an entry to an agent or another entry: cordoned zones, on a new link and after a change.
+    Cordons(CordonNotice),
+}
+
+impl Frame {
+    /// Returns the first version that has this kind of frame.
+    fn since_version(&self) -> u32 {
+        match self {
+            Self::Hello(_)
+            | Self::Agent(_)
+            | Self::Entry(_)
+            | Self::Peer(_)
+            | Self::Entries(_) => OLDEST_FRAME_VERSION,
+            Self::Cordons(_) => CORDON_FRAME_VERSION,
+        }
+    }
+
+    /// Encodes the frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a value cannot be encoded.
+    pub fn encode(&self) -> postcard::Result<Vec<u8>> {
+        let mut bytes = postcard::to_stdvec(self)?;
+        if let Self::Hello(hello) = self {
+            bytes.extend(postcard::to_stdvec(&hello.newest_version)?);
+        }
+        Ok(bytes)
+    }
+
+    /// Decodes a frame; bytes after the fields that this build knows are ignored.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are not a frame of a version that this build speaks.
+    pub fn decode(bytes: &[u8]) -> postcard::Result<Self> {
+        let (mut frame, rest) = postcard::take_from_bytes(bytes)?;
+        if let Self::Hello(hello) = &mut frame {
+            // Builds of version 3 end here, and speak that version only.
+            hello.newest_version =
+                if rest.is_empty() { hello.version } else { postcard::from_bytes(rest)? };
+        }
+        Ok(frame)
+    }
 }
 
 /// Sending half of a link. Dropping it closes the link.
 #[derive(Debug)]
 pub struct LinkSender {
     frames: mpsc::Sender<Frame>,
+    /// Version of the frames that both ends speak.
+    version: Cell<u32>,
     /// Ends the receiving half on drop, since it may be waiting on a connection that fell silent.
     _closing: DropGuard,
 }
 
 impl LinkSender {
-    /// Queues a frame; returns `false` if the link is closed or its queue is full.
+    /// Sets the version of the frames, once the other end's hello has arrived.
+    pub fn set_version(&self, version: u32) {
+        self.version.set(version);
+    }
+
+    /// Queues a frame; returns `false` if the link is closed or its queue is full. A frame that the
+    /// other end's version lacks is left out.
     pub fn send(&self, frame: Frame) -> bool {
+        if frame.since_version() > self.version.get() {
+            return true;
+        }
         self.frames.try_send(frame).is_ok()
     }
 }
@@ -69,7 +130,7 @@
     pub async fn receive(&mut self) -> Option<Frame> {
         let next = self.closed.run_until_cancelled(self.frames.next());
         let bytes = next.await??.ok()?;
-        match postcard::from_bytes(&bytes) {
+        match Frame::decode(&bytes) {
             Ok(frame) => Some(frame),
             Err(error) => {
                 tracing::info!(%error, "frame cannot be decoded: closing the link");
@@ -79,19 +140,25 @@
     }
 
     /// Returns the remote process's hello, or `None` if it does not arrive within `timeout`,
-    /// another frame arrives first or the process has a different [`FRAME_VERSION`].
-    pub async fn receive_hello(&mut self, timeout: Duration) -> Option<Hello> {
-        match time::timeout(timeout, self.receive()).await {
-            Ok(Some(Frame::Hello(hello))) if hello.version == FRAME_VERSION => Some(hello),
-            Ok(Some(Frame::Hello(hello))) => {
-                tracing::info!(
-                    process = %hello.process, version = hello.version, own = FRAME_VERSION,
-                    "link refused: different frame version"
-                );
-                None
-            }
-            _ => None,
-        }
+    /// another frame arrives first or the processes speak no common version of the frames.
+    /// `sender` is the other half of the link; from now on it sends frames of the common version.
+    pub async fn receive_hello(&mut self, sender: &LinkSender, timeout: Duration) -> Option<Hello> {
+        let Ok(Some(Frame::Hello(hello))) = time::timeout(timeout, self.receive()).await else {
+            return None;
+        };
+        let Some(version) = hello.common_version() else {
+            tracing::info!(
+                process = %hello.process,
+                oldest = hello.version,
+                newest = hello.newest_version,
+                own_oldest = OLDEST_FRAME_VERSION,
+                own_newest = NEWEST_FRAME_VERSION,
+                "link refused: no common frame version"
+            );
+            return None;
+        };
+        sender.set_version(version);
+        Some(hello)
     }
 }
 
@@ -115,7 +182,11 @@
     let (sender, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
     tokio::task::spawn_local(write_frames(FramedWrite::new(writer, codec), queue));
     let closed = CancellationToken::new();
-    let sender = LinkSender { frames: sender, _closing: closed.clone().drop_guard() };
+    let sender = LinkSender {
+        frames: sender,
+        version: Cell::new(OLDEST_FRAME_VERSION),
+        _closing: closed.clone().drop_guard(),
+    };
     (sender, LinkReceiver { frames, closed })
 }
 
@@ -143,7 +214,7 @@
     writer: &mut FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
     frame: &Frame,
 ) -> bool {
-    match postcard::to_stdvec(frame) {
+    match frame.encode() {
         Ok(bytes) => writer.feed(Bytes::from(bytes)).await.is_ok(),
         Err(error) => {
             tracing::warn!(%error, "frame cannot be encoded: dropped");
--- a/crates/bulrushlatch_node/src/link_manager.rs
+++ b/crates/bulrushlatch_node/src/link_manager.rs
@@ -137,7 +137,7 @@
     while owner.link_manager().needs_link(address) {
         if let Ok((sender, mut receiver)) = link::connect(address).await {
             sender.send(Frame::Hello(owner.hello()));
-            if let Some(peer) = receiver.receive_hello(HELLO_TIMEOUT).await {
+            if let Some(peer) = receiver.receive_hello(&sender, HELLO_TIMEOUT).await {
                 pause = RECONNECT_PAUSE;
                 owner.link_manager().record_open(address, owner.now());
                 Rc::clone(&owner).serve(peer, sender, receiver).await;
