--- a/crates/bulrushlatch_dispatch/src/agent/frames.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/frames.rs
@@ -1,6 +1,6 @@
 //! Frames to entries.
 
-use std::time::Duration;
+use std::{cell::LazyCell, time::Duration};
 
 use crate::{
     clock::BootTime,
@@ -8,14 +8,14 @@
     ids::LinkId,
 };
 
-use super::Agent;
+use super::{Agent, target::Target};
 
 impl Agent {
     /// Returns the frames that are due. `min_interval` is the shortest time between frames on one
     /// link; a report, an unsent profile or a changed `accepts` is sent at once.
     pub fn frames(&mut self, now: BootTime, min_interval: Duration) -> Vec<(LinkId, AgentFrame)> {
         let offer = self.offer(now);
-        let profile = self.profile();
+        let profile = LazyCell::new(|| profile_of(self.target.as_ref()));
         let timing = self.timing;
         let mut frames = Vec::new();
         for session in self.sessions.values_mut() {
@@ -29,7 +29,7 @@
             session.sent_report = session.last_report;
             session.sent_at = now;
             session.has_pending_update = false;
-            let profile = (!session.is_profile_sent).then(|| profile.clone());
+            let profile = (!session.is_profile_sent).then(|| Profile::clone(&profile));
             session.is_profile_sent = true;
             session.sent_accepts = offer.accepts;
             let stamp_ms = now.as_millis() as u64;
@@ -46,17 +46,6 @@
         })
     }
 
-    fn profile(&self) -> Profile {
-        let Some(target) = &self.target else { return Profile::default() };
-        let announcement = &target.announcement;
-        Profile {
-            service: announcement.service.clone(),
-            labels: announcement.labels.clone(),
-            zone: announcement.zone.clone(),
-            total: announcement.capacity,
-        }
-    }
-
     fn offer(&self, now: BootTime) -> Offer {
         Offer { free: self.free(now), accepts: self.accepts(now) }
     }
@@ -75,3 +64,14 @@
         }
     }
 }
+
+fn profile_of(target: Option<&Target>) -> Profile {
+    let Some(target) = target else { return Profile::default() };
+    let announcement = &target.announcement;
+    Profile {
+        service: announcement.service.clone(),
+        labels: announcement.labels.clone(),
+        zone: announcement.zone.clone(),
+        total: announcement.capacity,
+    }
+}
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -26,6 +26,7 @@
 use crate::{
     clock::BootTime,
     cordon::Cordons,
+    frame::FrameVersion,
     ids::{Attempt, LinkId, ProcessId, ReportNumber, TaskKey},
     size::Size,
     timing::Timing,
@@ -185,12 +186,20 @@
         self.target.as_ref().map_or(Duration::ZERO, |target| target.poll_wait(now))
     }
 
-    /// Records that a link to an entry has opened, in place of an earlier one.
-    pub fn link_up(&mut self, now: BootTime, entry: ProcessId, link: LinkId) {
+    /// Records that a link to an entry, with frames of `version`, has opened in place of an earlier
+    /// one.
+    pub fn link_up(
+        &mut self,
+        now: BootTime,
+        entry: ProcessId,
+        link: LinkId,
+        version: FrameVersion,
+    ) {
         let last_report = self.last_removed_report;
         let session = self.sessions.entry(entry);
         let session = session.or_insert_with(|| Session::new(link, now, last_report));
         session.link = Some(link);
+        session.version = version;
         session.received_at = now;
         // Frames that were sent on the old link may be lost.
         session.sent_report = 0;
@@ -215,7 +224,7 @@
             let limit = if session.is_in_use {
                 timing.contact_limit.mul_f64(SILENT_LINK_SHARE)
             } else {
-                timing.idle_heartbeat() * IDLE_LINK_HEARTBEATS
+                timing.idle_heartbeat(session.version) * IDLE_LINK_HEARTBEATS
             };
             now.saturating_sub(session.received_at) > limit
         });
--- a/crates/bulrushlatch_dispatch/src/agent/session.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/session.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock::BootTime,
-    frame::Report,
+    frame::{FrameVersion, OLDEST_FRAME_VERSION, Report},
     ids::{LinkId, OrderNumber, ReportNumber},
     timing::Timing,
 };
@@ -14,6 +14,8 @@
 pub struct Session {
     /// The open link, if there is one.
     pub link: Option<LinkId>,
+    /// Version of the frames on that link.
+    pub version: FrameVersion,
     /// Newest stamp of this agent that the entry echoed: the entry was alive after that time.
     pub alive_at: BootTime,
     /// Highest order processed.
@@ -44,6 +46,7 @@
     pub fn new(link: LinkId, now: BootTime, last_report: ReportNumber) -> Self {
         Self {
             link: Some(link),
+            version: OLDEST_FRAME_VERSION,
             alive_at: BootTime::ZERO,
             orders_seen: 0,
             reports: VecDeque::new(),
@@ -84,7 +87,7 @@
             since_sent >= timing.heartbeat
                 || (self.has_pending_update && since_sent >= min_interval)
         } else {
-            since_sent >= timing.idle_heartbeat()
+            since_sent >= timing.idle_heartbeat(self.version)
         }
     }
 
--- a/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -7,7 +7,10 @@
 
 use crate::{
     clock::BootTime,
-    frame::{Action, AgentFrame, EntryFrame, Offer, Order, Profile, StartOrder},
+    frame::{
+        Action, AgentFrame, EntryFrame, FrameVersion, OLDEST_FRAME_VERSION, Offer, Order, Profile,
+        StartOrder,
+    },
     ids::{JobId, LinkId, OrderNumber, ReportNumber, TaskKey},
     size::Size,
     timing::Timing,
@@ -16,6 +19,9 @@
 /// Share of the contact limit without a frame after which nothing new is placed at an agent.
 const FRESH_SHARE: f64 = 0.5;
 
+/// Idle heartbeats without a frame beyond which an agent is not chosen for placement.
+const MAX_SILENT_HEARTBEATS: u32 = 2;
+
 /// An order that the agent has not acknowledged yet.
 #[derive(Clone, Debug)]
 struct UnacknowledgedOrder {
@@ -39,6 +45,10 @@
 pub struct AgentView {
     /// The open link, if there is one.
     pub link: Option<LinkId>,
+    /// Version of the frames on that link.
+    version: FrameVersion,
+    /// Rank by which this entry chooses the agents that it uses.
+    pub rank: u64,
     /// Whether this entry places tasks at the agent.
     pub is_in_use: bool,
     /// Whether the target's zone receives no new tasks.
@@ -69,9 +79,11 @@
 impl AgentView {
     /// Returns the view of an agent whose link has just been opened; the numbers of its orders
     /// continue after `last_order`.
-    pub fn new(link: LinkId, now: BootTime, last_order: OrderNumber) -> Self {
+    pub fn new(link: LinkId, now: BootTime, last_order: OrderNumber, rank: u64) -> Self {
         Self {
             link: Some(link),
+            version: OLDEST_FRAME_VERSION,
+            rank,
             is_in_use: false,
             is_cordoned: false,
             profile: Profile::default(),
@@ -89,9 +101,11 @@
         }
     }
 
-    /// Replaces the link; nothing is sent on the new one before the agent's first frame.
-    pub fn link_up(&mut self, link: LinkId) {
+    /// Replaces the link; nothing is sent on the new one, with frames of `version`, before the agent's
+    /// first frame.
+    pub fn link_up(&mut self, link: LinkId, version: FrameVersion) {
         self.link = Some(link);
+        self.version = version;
         self.is_synced = false;
         self.sent_at = BootTime::ZERO;
     }
@@ -156,6 +170,12 @@
         self.link.is_some() && self.is_synced && now.saturating_sub(self.received_at) <= limit
     }
 
+    /// Returns whether the agent's state is known well enough to choose it for placement.
+    pub fn is_recent(&self, now: BootTime, timing: &Timing) -> bool {
+        let limit = timing.idle_heartbeat(self.version) * MAX_SILENT_HEARTBEATS;
+        now.saturating_sub(self.received_at) <= limit
+    }
+
     /// Returns whether the agent accepts new tasks and its target's zone may receive them.
     pub fn accepts_tasks(&self) -> bool {
         self.offer.accepts && !self.is_cordoned
@@ -206,18 +226,27 @@
         number
     }
 
-    /// Sets whether this entry places tasks at the agent; a change is sent to it at once.
-    pub fn set_in_use(&mut self, is_in_use: bool) {
-        if self.is_in_use != is_in_use {
+    /// Sets whether this entry places tasks at the agent; returns whether this is a change, which the
+    /// next frame carries at once.
+    pub fn set_in_use(&mut self, is_in_use: bool) -> bool {
+        let has_changed = self.is_in_use != is_in_use;
+        if has_changed {
             self.is_in_use = is_in_use;
             self.sent_at = BootTime::ZERO;
         }
+        has_changed
+    }
+
+    /// Returns whether a frame is to be sent before the next heartbeat.
+    pub fn has_pending_frame(&self) -> bool {
+        !self.pending.is_empty() || self.sent_at.is_zero()
     }
 
     /// Returns the frame to send now: pending orders or a due heartbeat, if any.
     pub fn frame(&mut self, now: BootTime, timing: &Timing) -> Option<(LinkId, EntryFrame)> {
         let link = self.link?;
-        let interval = if self.is_in_use { timing.heartbeat } else { timing.idle_heartbeat() };
+        let interval =
+            if self.is_in_use { timing.heartbeat } else { timing.idle_heartbeat(self.version) };
         let is_due = now.saturating_sub(self.sent_at) >= interval;
         if !self.is_synced || (self.pending.is_empty() && !is_due) {
             return None;
--- a/crates/bulrushlatch_dispatch/src/entry/agents.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agents.rs
@@ -5,24 +5,29 @@
 use crate::{
     clock::BootTime,
     cordon::Cordons,
+    frame::FrameVersion,
     ids::{LinkId, ProcessId},
     outcome::RunOutcome,
 };
 
 use super::{Entry, agent_view::AgentView, subset};
 
-/// Idle heartbeats without a frame beyond which an agent is not chosen for placement.
-const MAX_SILENT_HEARTBEATS: u32 = 2;
-
 impl Entry {
-    /// Handles a new link to an agent.
-    pub fn link_up(&mut self, now: BootTime, agent: ProcessId, link: LinkId) {
+    /// Handles a new link to an agent, with frames of `version`.
+    pub fn link_up(
+        &mut self,
+        now: BootTime,
+        agent: ProcessId,
+        link: LinkId,
+        version: FrameVersion,
+    ) {
         self.detect_suspension(now);
-        tracing::info!(%agent, link, "agent linked");
+        tracing::info!(%agent, link, version, "agent linked");
         let last_order = self.last_removed_order;
+        let rank = subset::rank(self.seed, &agent.name);
         let view =
-            self.agents.entry(agent).or_insert_with(|| AgentView::new(link, now, last_order));
-        view.link_up(link);
+            self.agents.entry(agent).or_insert_with(|| AgentView::new(link, now, last_order, rank));
+        view.link_up(link, version);
     }
 
     /// Handles the loss of a link to an agent.
@@ -63,24 +68,29 @@
     /// Chooses the agents at which tasks are placed; an agent that still has runs stays in use.
     pub(super) fn update_agents_in_use(&mut self, now: BootTime) {
         self.subset_chosen_at = now;
-        let max_silence = self.timing.idle_heartbeat() * MAX_SILENT_HEARTBEATS;
-        let usable = self.agents.iter().filter(|(_, view)| {
-            let is_recent = now.saturating_sub(view.received_at) <= max_silence;
-            view.link.is_some() && view.accepts_tasks() && is_recent
-        });
-        let candidates = usable.map(|(agent, view)| subset::Candidate {
-            agent,
-            service: &view.profile.service,
-            is_in_own_zone: view.profile.zone == self.zone,
-            cpu_millis: view.profile.total.cpu_millis,
+        let timing = self.timing;
+        let views = self.agents.values();
+        let usable = views.filter(|view| view.accepts_tasks() && view.is_recent(now, &timing));
+        let candidates = usable.filter_map(|view| {
+            Some(subset::Candidate {
+                link: view.link?,
+                rank: view.rank,
+                service: &view.profile.service,
+                is_in_own_zone: view.profile.zone == self.zone,
+                cpu_millis: view.profile.total.cpu_millis,
+            })
         });
         let load = |service: &str| {
             self.offered_loads.get(service).map_or(0.0, |load| load.cpu_millis(now))
         };
-        let chosen: BTreeSet<ProcessId> =
-            subset::choose(self.seed, candidates, load).into_iter().cloned().collect();
-        for (agent, view) in &mut self.agents {
-            view.set_in_use(chosen.contains(agent) || !view.runs.is_empty());
+        let chosen: BTreeSet<LinkId> = subset::choose(candidates, load).into_iter().collect();
+        let mut has_changed = false;
+        for view in self.agents.values_mut() {
+            let is_chosen = view.link.is_some_and(|link| chosen.contains(&link));
+            has_changed |= view.set_in_use(is_chosen || !view.runs.is_empty());
+        }
+        if has_changed {
+            self.heartbeats_checked_at = BootTime::ZERO;
         }
     }
 
--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -60,6 +60,7 @@
         let start = StartOrder { task: key.clone(), attempt, payload, size, has_failed };
         let Some(view) = self.agents.get_mut(&agent) else { return false };
         let order = view.issue_start(start, expected);
+        self.agents_with_orders.push(agent.clone());
         task.phase = Phase::Placed { agent, order, placed_at: now, is_stopping: false };
         self.counters.start_orders += 1;
         if job.is_late() {
@@ -84,7 +85,7 @@
         let step = job.request.steps.get(key.step as usize)?;
         let task = job.task(key)?;
         let available = self.agents.iter().filter(|(_, view)| {
-            view.profile.service == job.route.service && view.is_available(now, &self.timing)
+            view.is_available(now, &self.timing) && view.profile.service == job.route.service
         });
         let candidates = available.map(|(agent, view)| Candidate {
             agent,
@@ -182,6 +183,7 @@
     ) {
         if let Some(view) = self.agents.get_mut(agent) {
             view.issue_order(Action::Stop { task: key.clone(), order, is_stuck });
+            self.agents_with_orders.push(agent.clone());
         }
         let job = self.jobs.get_mut(&key.job);
         if let Some(task) = job.and_then(|job| job.task_mut(key))
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -64,6 +64,9 @@
 const LAG_LIMIT: Duration = Duration::from_millis(40);
 /// Weight of a new value in the moving average of the lag.
 const LAG_WEIGHT: f64 = 0.3;
+/// Shortest interval between checks of all agents for due heartbeats: short against the interval of
+/// heartbeats, long against that of events.
+const HEARTBEAT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which the agents in use are chosen again while no new agent becomes usable.
 const SUBSET_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -105,6 +108,10 @@
     /// Time of the first event.
     started_at: BootTime,
     last_event_at: BootTime,
+    /// When all agents were last checked for due heartbeats.
+    heartbeats_checked_at: BootTime,
+    /// Agents for which a frame is to be sent before the next heartbeat.
+    agents_with_orders: Vec<ProcessId>,
     answers: Vec<(CallerId, Answer)>,
     counters: EntryCounters,
 }
@@ -136,6 +143,8 @@
             spare_seen_at: BTreeMap::new(),
             started_at: BootTime::ZERO,
             last_event_at: BootTime::ZERO,
+            heartbeats_checked_at: BootTime::ZERO,
+            agents_with_orders: Vec::new(),
             answers: Vec::new(),
             counters: EntryCounters::default(),
         }
@@ -231,7 +240,17 @@
     /// Returns the frames to send now, with their links.
     pub fn frames(&mut self, now: BootTime) -> Vec<(LinkId, EntryFrame)> {
         let timing = self.timing;
-        self.agents.values_mut().filter_map(|agent| agent.frame(now, &timing)).collect()
+        if now.saturating_sub(self.heartbeats_checked_at) >= HEARTBEAT_CHECK_INTERVAL {
+            self.heartbeats_checked_at = now;
+            self.agents_with_orders.clear();
+            return self.agents.values_mut().filter_map(|view| view.frame(now, &timing)).collect();
+        }
+        let mut frames = Vec::new();
+        for agent in self.agents_with_orders.drain(..) {
+            let view = self.agents.get_mut(&agent);
+            frames.extend(view.and_then(|view| view.frame(now, &timing)));
+        }
+        frames
     }
 
     /// Handles a frame from an agent.
@@ -248,6 +267,9 @@
         if frame.profile.is_some() {
             view.is_cordoned = self.cordons.contains(&view.profile.zone);
         }
+        if view.has_pending_frame() {
+            self.agents_with_orders.push(agent.clone());
+        }
         let is_in_use = view.is_in_use;
         if frame.profile.is_some() || (frame.offer.accepts && !is_in_use && !accepted_before) {
             self.update_agents_in_use(now);
--- a/crates/bulrushlatch_dispatch/src/entry/subset.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/subset.rs
@@ -9,7 +9,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::ids::ProcessId;
+use crate::ids::LinkId;
 
 /// Number of agents that an entry with little load uses for one service: enough to find capacity
 /// under uneven load, few enough for the CPU and link of the smallest entries.
@@ -23,11 +23,19 @@
 /// availability zone.
 const MAX_OWN_ZONE_FIRST: usize = 12;
 
+/// Returns the rank of an agent for the entry with the given seed. Each entry ranks agents by a hash
+/// with its own seed (rendezvous hashing), so that entries spread evenly over the agents.
+pub fn rank(seed: u64, agent_name: &str) -> u64 {
+    xxh3_64_with_seed(agent_name.as_bytes(), seed)
+}
+
 /// An agent that may be used.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate<'a> {
-    /// Id of the agent.
-    pub agent: &'a ProcessId,
+    /// Link to the agent.
+    pub link: LinkId,
+    /// Rank of the agent for this entry, from [`rank`]; agents with low ranks are preferred.
+    pub rank: u64,
     /// Service of its target.
     pub service: &'a str,
     /// Whether it is in the entry's own availability zone.
@@ -39,38 +47,43 @@
 /// Returns the agents to use, chosen for each service. `load_cpu_millis` returns the CPU that the jobs
 /// of a service keep busy, in thousandths of a core.
 ///
-/// Uses rendezvous hashing: each entry ranks agents by a hash with its own seed, so that entries
-/// spread evenly over the agents, and an agent that joins or leaves changes few choices.
+/// An agent that joins or leaves changes few choices.
 pub fn choose<'a>(
-    seed: u64,
     candidates: impl Iterator<Item = Candidate<'a>>,
     load_cpu_millis: impl Fn(&str) -> f64,
-) -> Vec<&'a ProcessId> {
+) -> Vec<LinkId> {
     let mut by_service: BTreeMap<&str, Vec<Candidate<'a>>> = BTreeMap::new();
     for candidate in candidates {
         by_service.entry(candidate.service).or_default().push(candidate);
     }
-    let chosen = by_service.into_iter().flat_map(|(service, candidates)| {
-        choose_for_service(seed, candidates, load_cpu_millis(service))
-    });
+    let chosen = by_service
+        .into_iter()
+        .flat_map(|(service, candidates)| choose_for_service(candidates, load_cpu_millis(service)));
     chosen.collect()
 }
 
-fn choose_for_service(
-    seed: u64,
-    mut candidates: Vec<Candidate<'_>>,
-    load_cpu_millis: f64,
-) -> Vec<&ProcessId> {
+fn choose_for_service(mut candidates: Vec<Candidate<'_>>, load_cpu_millis: f64) -> Vec<LinkId> {
     if candidates.len() > BASE_AGENTS {
-        candidates
-            .sort_by_key(|candidate| xxh3_64_with_seed(candidate.agent.name.as_bytes(), seed));
-        let own_zone = candidates.iter().filter(|candidate| candidate.is_in_own_zone);
-        let own_zone: Vec<Candidate<'_>> = own_zone.take(MAX_OWN_ZONE_FIRST).copied().collect();
-        candidates.retain(|candidate| own_zone.iter().all(|first| first.agent != candidate.agent));
-        candidates = own_zone.into_iter().chain(candidates).collect();
+        candidates.sort_unstable_by_key(|candidate| candidate.rank);
+        candidates = own_zone_first(candidates);
         candidates.truncate(agents_needed(&candidates, load_cpu_millis));
     }
-    candidates.into_iter().map(|candidate| candidate.agent).collect()
+    candidates.into_iter().map(|candidate| candidate.link).collect()
+}
+
+/// Moves the first [`MAX_OWN_ZONE_FIRST`] candidates of the entry's own zone to the front.
+fn own_zone_first(candidates: Vec<Candidate<'_>>) -> Vec<Candidate<'_>> {
+    let mut first = Vec::with_capacity(candidates.len());
+    let mut others = Vec::with_capacity(candidates.len());
+    for candidate in candidates {
+        if candidate.is_in_own_zone && first.len() < MAX_OWN_ZONE_FIRST {
+            first.push(candidate);
+        } else {
+            others.push(candidate);
+        }
+    }
+    first.append(&mut others);
+    first
 }
 
 /// Returns how many of the ranked candidates have the capacity that the load needs.
--- a/crates/bulrushlatch_dispatch/src/entry/supply.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/supply.rs
@@ -37,7 +37,7 @@
         route: &'a Route,
     ) -> impl Iterator<Item = &'a AgentView> {
         self.agents.values().filter(move |agent| {
-            agent.profile.service == route.service && agent.is_available(now, &self.timing)
+            agent.is_available(now, &self.timing) && agent.profile.service == route.service
         })
     }
 
--- a/crates/bulrushlatch_dispatch/src/frame.rs
+++ b/crates/bulrushlatch_dispatch/src/frame.rs
@@ -12,11 +12,18 @@
 };
 
 /// Oldest version of the frames that this build speaks: that of the previous build in production.
-pub const OLDEST_FRAME_VERSION: u32 = 3;
-/// Newest version of the frames that this build speaks. Version 4 adds cordons.
-pub const NEWEST_FRAME_VERSION: u32 = 4;
+pub const OLDEST_FRAME_VERSION: FrameVersion = 3;
+/// Newest version of the frames that this build speaks. Version 4 adds cordons, and heartbeats are
+/// sparser on links that are not in use.
+pub const NEWEST_FRAME_VERSION: FrameVersion = 4;
 /// First version with frames that carry cordons.
-pub const CORDON_FRAME_VERSION: u32 = 4;
+pub const CORDON_FRAME_VERSION: FrameVersion = 4;
+/// First version whose processes expect [`Timing::idle_heartbeat`](crate::timing::Timing) to be
+/// sparse.
+pub const SPARSE_HEARTBEAT_VERSION: FrameVersion = 4;
+
+/// Version of the frames on a link.
+pub type FrameVersion = u32;
 
 /// First frame in both directions of a link.
 ///
@@ -26,7 +33,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
     /// Oldest version of the frames that the sender speaks.
-    pub version: u32,
+    pub version: FrameVersion,
     /// The sender.
     pub process: ProcessId,
     /// The sender's role.
@@ -35,7 +42,7 @@
     pub address: Option<SocketAddr>,
     /// Newest version of the frames that the sender speaks; the link appends it to the encoding.
     #[serde(skip)]
-    pub newest_version: u32,
+    pub newest_version: FrameVersion,
 }
 
 impl Hello {
@@ -46,7 +53,7 @@
     }
 
     /// Returns the newest version that the sender and this build speak, if there is one.
-    pub fn common_version(&self) -> Option<u32> {
+    pub fn common_version(&self) -> Option<FrameVersion> {
         let common = self.newest_version.min(NEWEST_FRAME_VERSION);
         (common >= self.version.max(OLDEST_FRAME_VERSION)).then_some(common)
     }
--- a/crates/bulrushlatch_dispatch/src/timing.rs
+++ b/crates/bulrushlatch_dispatch/src/timing.rs
@@ -14,6 +14,8 @@
 
 use std::time::Duration;
 
+use crate::frame::{FrameVersion, SPARSE_HEARTBEAT_VERSION};
+
 /// Largest relative difference in rate between a target's clock and the agent's, as stated by the
 /// platform.
 pub const CLOCK_DRIFT: f64 = 0.02;
@@ -28,8 +30,10 @@
 /// Share of the contact limit between two heartbeats: two may be lost without exceeding the limit.
 const HEARTBEAT_SHARE: f64 = 0.25;
 
-/// Factor on the heartbeat interval on a link that is not in use.
-const IDLE_HEARTBEAT_FACTOR: u32 = 6;
+/// Factor on the heartbeat interval on a link that is not in use: most links of a large site are not.
+const IDLE_HEARTBEAT_FACTOR: u32 = 18;
+/// The same on a link to a build that replaces a link after a shorter silence.
+const DENSE_IDLE_HEARTBEAT_FACTOR: u32 = 6;
 
 /// Time bounds that all processes of a site share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,9 +68,14 @@
         }
     }
 
-    /// Returns the longest interval between two frames on a link that is not in use.
-    pub fn idle_heartbeat(&self) -> Duration {
-        self.heartbeat * IDLE_HEARTBEAT_FACTOR
+    /// Returns the longest interval between two frames on a link that is not in use, whose frames
+    /// have the given version.
+    pub fn idle_heartbeat(&self, version: FrameVersion) -> Duration {
+        if version >= SPARSE_HEARTBEAT_VERSION {
+            self.heartbeat * IDLE_HEARTBEAT_FACTOR
+        } else {
+            self.heartbeat * DENSE_IDLE_HEARTBEAT_FACTOR
+        }
     }
 
     /// Returns the longest time for which a lease may last on the agent's clock.
--- a/crates/bulrushlatch_dispatch/tests/agent/fixture.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/fixture.rs
@@ -8,7 +8,7 @@
         target::{Announcement, EndedRun, RunEnd, RunningRun, StartReply, TargetStatus},
     },
     clock::BootTime,
-    frame::{Action, AgentFrame, EntryFrame, Order, StartOrder},
+    frame::{Action, AgentFrame, EntryFrame, NEWEST_FRAME_VERSION, Order, StartOrder},
     ids::{ProcessId, TaskKey},
     outcome::RunOutcome,
     size::Size,
@@ -62,7 +62,7 @@
     pub fn new() -> Self {
         let mut agent = Agent::new(timing());
         agent.handle_announcement(announcement("target", 1));
-        agent.link_up(BOOT, entry(), 1);
+        agent.link_up(BOOT, entry(), 1, NEWEST_FRAME_VERSION);
         let mut fixture =
             Self { agent, now: BOOT, last_order: 0, frames: Vec::new(), untaken: Vec::new() };
         fixture.poll(&TargetStatus::default());
--- a/crates/bulrushlatch_dispatch/tests/agent/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/main.rs
@@ -2,10 +2,11 @@
 
 mod cordon;
 mod fixture;
+mod heartbeats;
 
 use bulrushlatch_dispatch::{
     agent::target::{Announcement, PollError, RunEnd, StartReply, TargetStatus},
-    frame::{Action, StartOrder},
+    frame::{Action, NEWEST_FRAME_VERSION, StartOrder},
     outcome::{Obstacle, RunOutcome},
     size::Size,
     timing::Timing,
@@ -28,7 +29,7 @@
     fixture.agent.link_down(&entry(), 1);
     fixture.now += timing().all_runs_ended_after() * 5;
     fixture.agent.tick(fixture.now);
-    fixture.agent.link_up(fixture.now, entry(), 1);
+    fixture.agent.link_up(fixture.now, entry(), 1, NEWEST_FRAME_VERSION);
     fixture.poll(&TargetStatus::default());
     assert!(last_report(&mut fixture, 2) > before);
 }
@@ -260,7 +261,7 @@
 #[test]
 fn orders_on_a_replaced_link_are_ignored() {
     let mut fixture = AgentFixture::new();
-    fixture.agent.link_up(fixture.now, entry(), 2);
+    fixture.agent.link_up(fixture.now, entry(), 2, NEWEST_FRAME_VERSION);
     fixture.start(0, 1_000);
     assert!(fixture.take_starts().is_empty());
     assert!(fixture.reported_outcomes().is_empty());
--- a/crates/bulrushlatch_dispatch/tests/entry.rs
+++ b/crates/bulrushlatch_dispatch/tests/entry.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use bulrushlatch_dispatch::{
+    frame::NEWEST_FRAME_VERSION,
     outcome::{Answer, Obstacle, Refusal, RunOutcome},
     routing::RoutingTable,
 };
@@ -124,7 +125,7 @@
         fixture.entry.tick(fixture.now);
     }
     fixture.agents[0].link = 2;
-    fixture.entry.link_up(fixture.now, process("agent-0"), 2);
+    fixture.entry.link_up(fixture.now, process("agent-0"), 2, NEWEST_FRAME_VERSION);
     fixture.advance(ms(200));
     fixture.submit(job("second", 1, 1_000, ms(60)), "quick");
     let starts = fixture.agents[0].take_starts();
@@ -141,7 +142,7 @@
     assert_eq!(fixture.agents[0].take_starts().len(), 1);
     // The agent opens a new link, and the caller disconnects before the first frame on it.
     fixture.agents[0].link = 2;
-    fixture.entry.link_up(fixture.now, process("agent-0"), 2);
+    fixture.entry.link_up(fixture.now, process("agent-0"), 2, NEWEST_FRAME_VERSION);
     fixture.entry.caller_gone(fixture.now, caller);
     fixture.collect();
     fixture.receive_frame(0, Vec::new());
@@ -162,7 +163,7 @@
     fixture.agents[0].orders.clear();
     fixture.agents[0].orders_seen = seen;
     fixture.agents[0].link = 2;
-    fixture.entry.link_up(fixture.now, process("agent-0"), 2);
+    fixture.entry.link_up(fixture.now, process("agent-0"), 2, NEWEST_FRAME_VERSION);
     fixture.receive_frame(0, Vec::new());
     fixture.advance(ms(40));
     assert_eq!(fixture.agents[0].stops(), 1);
@@ -176,7 +177,7 @@
     assert_eq!(fixture.agents[0].take_starts().len(), 1);
     fixture.agents[0].orders_seen = seen;
     fixture.agents[0].link = 2;
-    fixture.entry.link_up(fixture.now, process("agent-0"), 2);
+    fixture.entry.link_up(fixture.now, process("agent-0"), 2, NEWEST_FRAME_VERSION);
     fixture.receive_frame(0, Vec::new());
     fixture.advance(ms(40));
     let starts = fixture.agents[0].take_starts();
@@ -187,7 +188,7 @@
 #[test]
 fn frames_on_a_replaced_link_are_ignored() {
     let mut fixture = fixture_with_one_agent();
-    fixture.entry.link_up(fixture.now, process("agent-0"), 2);
+    fixture.entry.link_up(fixture.now, process("agent-0"), 2, NEWEST_FRAME_VERSION);
     fixture.receive_frame(0, Vec::new());
     assert!(!fixture.entry.is_ready(fixture.now), "ready after a frame on the replaced link 1");
 }
@@ -231,7 +232,7 @@
     let silent_since = fixture.now;
     fixture.entry.link_down(fixture.now, &process("agent-0"), 1);
     let second_agent = SimulatedAgent::new("agent-1", 2, 16_000);
-    fixture.entry.link_up(fixture.now, second_agent.id.clone(), 2);
+    fixture.entry.link_up(fixture.now, second_agent.id.clone(), 2, NEWEST_FRAME_VERSION);
     fixture.agents = vec![second_agent];
     let time_bound = timing().all_runs_ended_after();
     while fixture.now < silent_since + time_bound {
--- a/crates/bulrushlatch_dispatch/tests/load/fleet.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/fleet.rs
@@ -5,7 +5,7 @@
 use bulrushlatch_dispatch::{
     clock::BootTime,
     entry::{Entry, Submission},
-    frame::{Action, AgentFrame, EntryFrame, Offer, Profile, Report},
+    frame::{Action, AgentFrame, EntryFrame, NEWEST_FRAME_VERSION, Offer, Profile, Report},
     ids::CallerId,
     outcome::{Answer, Obstacle, RunOutcome},
     routing::RoutingTable,
@@ -182,7 +182,12 @@
             entry.configure(RoutingTable::new(1, routes.clone(), None));
             entry.set_entry_count(weights.len() as u32);
             for target in 0..targets {
-                entry.link_up(BOOT, process(&agent_name(target)), target as u64 + 1);
+                entry.link_up(
+                    BOOT,
+                    process(&agent_name(target)),
+                    target as u64 + 1,
+                    NEWEST_FRAME_VERSION,
+                );
             }
             entry
         });
--- a/crates/bulrushlatch_dispatch/tests/load/site.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/site.rs
@@ -6,7 +6,7 @@
     agent::health::{Health, HealthState},
     clock::BootTime,
     entry::{Entry, Submission},
-    frame::{Action, AgentFrame, Offer, Profile, Report},
+    frame::{Action, AgentFrame, NEWEST_FRAME_VERSION, Offer, Profile, Report},
     ids::{CallerId, OrderNumber},
     outcome::{Answer, Obstacle, RunOutcome},
     routing::{Route, RoutingTable},
@@ -271,7 +271,7 @@
     pub fn link_targets(&mut self) {
         for (index, target) in self.targets.iter_mut().enumerate() {
             let (agent, link) = (process(&target.name), index as u64 + 1);
-            self.entry.link_up(self.now, agent.clone(), link);
+            self.entry.link_up(self.now, agent.clone(), link, NEWEST_FRAME_VERSION);
             self.entry.receive(self.now, &agent, link, target.frame(self.now, true));
         }
     }
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/mod.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/mod.rs
@@ -27,7 +27,7 @@
     },
     clock::BootTime,
     entry::{Entry, Submission},
-    frame::{AgentFrame, EntryFrame},
+    frame::{AgentFrame, EntryFrame, NEWEST_FRAME_VERSION},
     ids::{CallerId, JobId, LinkId, ProcessId},
     job::{JobRequest, Step},
     outcome::Answer,
@@ -262,10 +262,14 @@
                 self.with_agent(agent, incarnation, |core, _| core.link_down(&entry, link));
             }
             Event::EntryLinkUp { entry, incarnation, link, agent } => {
-                self.with_entry(entry, incarnation, |core, now| core.link_up(now, agent, link));
+                self.with_entry(entry, incarnation, |core, now| {
+                    core.link_up(now, agent, link, NEWEST_FRAME_VERSION);
+                });
             }
             Event::AgentLinkUp { agent, incarnation, link, entry } => {
-                self.with_agent(agent, incarnation, |core, now| core.link_up(now, entry, link));
+                self.with_agent(agent, incarnation, |core, now| {
+                    core.link_up(now, entry, link, NEWEST_FRAME_VERSION);
+                });
             }
             Event::TickEntry { entry, incarnation } => {
                 if self.entries[entry].id.incarnation == incarnation
--- a/crates/bulrushlatch_dispatch/tests/subset.rs
+++ b/crates/bulrushlatch_dispatch/tests/subset.rs
@@ -5,49 +5,43 @@
 use bulrushlatch_dispatch::{
     entry::{
         offered_load::OfferedLoad,
-        subset::{Candidate, choose},
+        subset::{Candidate, choose, rank},
     },
-    ids::ProcessId,
+    ids::LinkId,
 };
 
 const AGENTS: usize = 240;
 const CPU_MILLIS: u64 = 16_000;
 
-fn agents() -> Vec<ProcessId> {
-    let agent = |number| ProcessId { name: format!("agent-{number}"), incarnation: 1 };
-    (0..AGENTS).map(agent).collect()
-}
-
-/// Returns the names of the agents that an entry uses whose jobs keep `load_cpu_millis` busy.
-fn chosen(agents: &[ProcessId], load_cpu_millis: f64) -> BTreeSet<String> {
-    let candidates = agents.iter().enumerate().map(|(number, agent)| Candidate {
-        agent,
+/// Returns the links of the agents that an entry uses whose jobs keep `load_cpu_millis` busy.
+fn chosen(load_cpu_millis: f64) -> BTreeSet<LinkId> {
+    let candidates = (0..AGENTS).map(|number| Candidate {
+        link: number as LinkId,
+        rank: rank(7, &format!("agent-{number}")),
         service: "service",
         is_in_own_zone: number % 6 == 0,
         cpu_millis: CPU_MILLIS,
     });
-    let chosen = choose(7, candidates, |_| load_cpu_millis);
-    chosen.into_iter().map(|agent| agent.name.clone()).collect()
+    choose(candidates, |_| load_cpu_millis).into_iter().collect()
 }
 
 #[test]
 fn an_entry_with_little_load_uses_the_base_number_of_agents() {
-    assert_eq!(chosen(&agents(), 0.0).len(), 24);
-    assert_eq!(chosen(&agents(), 2.0 * CPU_MILLIS as f64).len(), 24);
+    assert_eq!(chosen(0.0).len(), 24);
+    assert_eq!(chosen(2.0 * CPU_MILLIS as f64).len(), 24);
 }
 
 #[test]
 fn an_entry_uses_more_agents_the_more_load_it_receives_up_to_a_limit() {
-    assert_eq!(chosen(&agents(), 12.0 * CPU_MILLIS as f64).len(), 48);
-    assert_eq!(chosen(&agents(), 1e9).len(), 96);
+    assert_eq!(chosen(12.0 * CPU_MILLIS as f64).len(), 48);
+    assert_eq!(chosen(1e9).len(), 96);
 }
 
 /// Runs in progress stay where they are.
 #[test]
 fn agents_stay_in_use_when_the_load_grows() {
-    let agents = agents();
-    let few = chosen(&agents, 0.0);
-    assert!(few.is_subset(&chosen(&agents, 12.0 * CPU_MILLIS as f64)));
+    let few = chosen(0.0);
+    assert!(few.is_subset(&chosen(12.0 * CPU_MILLIS as f64)));
 }
 
 fn at(millis: u64) -> Duration {
--- a/crates/bulrushlatch_dispatch/tests/support/mod.rs
+++ b/crates/bulrushlatch_dispatch/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use bulrushlatch_dispatch::{
     clock::BootTime,
     entry::{Entry, Submission},
-    frame::{Action, AgentFrame, Offer, Order, Profile, Report, StartOrder},
+    frame::{Action, AgentFrame, NEWEST_FRAME_VERSION, Offer, Order, Profile, Report, StartOrder},
     ids::{CallerId, LinkId, ProcessId},
     job::{JobRequest, Step},
     outcome::{Answer, RunOutcome},
@@ -156,7 +156,7 @@
         let mut entry = Entry::new(timing(), "a".to_owned(), 1);
         entry.configure(RoutingTable::new(1, vec![route("quick"), route("slow")], None));
         for agent in &agents {
-            entry.link_up(BOOT, agent.id.clone(), agent.link);
+            entry.link_up(BOOT, agent.id.clone(), agent.link, NEWEST_FRAME_VERSION);
         }
         let mut fixture = Self { entry, agents, now: BOOT, answers: Vec::new(), last_caller: 0 };
         fixture.advance(ms(1));
--- a/crates/bulrushlatch_node/src/agent/links.rs
+++ b/crates/bulrushlatch_node/src/agent/links.rs
@@ -37,9 +37,10 @@
         let link = self.last_link.get() + 1;
         self.last_link.set(link);
         let entry = peer.process;
-        tracing::info!(%entry, link, "link to entry opened");
+        let version = sender.version();
+        tracing::info!(%entry, link, version, "link to entry opened");
         self.links.borrow_mut().insert(link, sender);
-        self.with_core(|core, now| core.link_up(now, entry.clone(), link));
+        self.with_core(|core, now| core.link_up(now, entry.clone(), link, version));
         while let Some(frame) = receiver.receive().await {
             // Orders that arrive after this process has closed the link must be ignored.
             if !self.links.borrow().contains_key(&link) {
--- a/crates/bulrushlatch_node/src/entry/links.rs
+++ b/crates/bulrushlatch_node/src/entry/links.rs
@@ -72,8 +72,9 @@
 
     async fn serve_agent(&self, agent: ProcessId, sender: LinkSender, mut receiver: LinkReceiver) {
         let link = self.next_id();
+        let version = sender.version();
         self.links.borrow_mut().insert(link, sender);
-        self.with_core(|core, now| core.link_up(now, agent.clone(), link));
+        self.with_core(|core, now| core.link_up(now, agent.clone(), link, version));
         self.send_cordons(link);
         self.send(link, Frame::Entries(self.known_entries()));
         while let Some(frame) = receiver.receive().await {
--- a/crates/bulrushlatch_node/src/link.rs
+++ b/crates/bulrushlatch_node/src/link.rs
@@ -5,7 +5,7 @@
 use bulrushlatch_dispatch::{
     cordon::CordonNotice,
     frame::{
-        AgentFrame, CORDON_FRAME_VERSION, EntryFrame, Hello, NEWEST_FRAME_VERSION,
+        AgentFrame, CORDON_FRAME_VERSION, EntryFrame, FrameVersion, Hello, NEWEST_FRAME_VERSION,
         OLDEST_FRAME_VERSION, PeerFrame,
     },
 };
@@ -52,13 +52,11 @@
 
 impl Frame {
     /// Returns the first version that has this kind of frame.
-    fn since_version(&self) -> u32 {
+    fn since_version(&self) -> FrameVersion {
         match self {
-            Self::Hello(_)
-            | Self::Agent(_)
-            | Self::Entry(_)
-            | Self::Peer(_)
-            | Self::Entries(_) => OLDEST_FRAME_VERSION,
+            Self::Hello(_) | Self::Agent(_) | Self::Entry(_) | Self::Peer(_) | Self::Entries(_) => {
+                OLDEST_FRAME_VERSION
+            }
             Self::Cordons(_) => CORDON_FRAME_VERSION,
         }
     }
@@ -97,14 +95,19 @@
 pub struct LinkSender {
     frames: mpsc::Sender<Frame>,
     /// Version of the frames that both ends speak.
-    version: Cell<u32>,
+    version: Cell<FrameVersion>,
     /// Ends the receiving half on drop, since it may be waiting on a connection that fell silent.
     _closing: DropGuard,
 }
 
 impl LinkSender {
+    /// Returns the version of the frames that both ends speak.
+    pub fn version(&self) -> FrameVersion {
+        self.version.get()
+    }
+
     /// Sets the version of the frames, once the other end's hello has arrived.
-    pub fn set_version(&self, version: u32) {
+    pub fn set_version(&self, version: FrameVersion) {
         self.version.set(version);
     }
 
