Targets that restart under the id that they had

The agent took it for the old one: ends with low numbers were ignored, and after a loss was noticed the id counted as past for good. The time of the start now belongs to the id of an incarnation. Starts not confirmed before the last poll may have reached the next incarnation: they are kept until it lists them, its lease has run out or a stop settles them.

--- a/crates/bulrushlatch_dispatch/src/agent/incarnation.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/incarnation.rs
@@ -2,9 +2,12 @@
 
 use crate::{clock::BootTime, outcome::RunOutcome};
 
+use std::collections::BTreeMap;
+
 use super::{
     Agent,
     health::Health,
+    run::Run,
     target::{Announcement, PollError, Target, TargetId},
 };
 
@@ -74,6 +77,7 @@
         }
         match error {
             PollError::Absent | PollError::OtherTarget => self.retire_target(now),
+            PollError::Restarted => self.replace_restarted_target(now),
             PollError::NoAnswer => {
                 if let Some(target) = &mut self.target {
                     target.record_no_answer(now);
@@ -82,6 +86,28 @@
         }
     }
 
+    /// Ends the present incarnation of a target that has restarted. Starts that it had not confirmed
+    /// before its last status poll may have taken place at the next incarnation.
+    fn replace_restarted_target(&mut self, now: BootTime) {
+        let Some(target) = &self.target else { return };
+        let polled_at = target.polled_at;
+        let over_by = now + self.timing.max_granted_lease_on_agent_clock();
+        let mut kept = BTreeMap::new();
+        for (task, run) in std::mem::take(&mut self.runs) {
+            // A start that was confirmed earlier took place at the incarnation that has ended.
+            if run.started_at.is_none_or(|at| at >= polled_at) {
+                let unanswered_starts = run.unanswered_starts.max(1);
+                let over_by = Some(over_by);
+                kept.insert(task, Run { started_at: None, unanswered_starts, over_by, ..run });
+            } else {
+                self.runs.insert(task, run);
+            }
+        }
+        tracing::info!(unsettled_runs = kept.len(), "target restarted");
+        self.retire_target(now);
+        self.runs = kept;
+    }
+
     /// Ends the present incarnation of the target and reports its runs as lost.
     fn retire_target(&mut self, now: BootTime) {
         let Some(target) = self.target.take() else { return };
--- a/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
@@ -191,6 +191,7 @@
         }
         if let Some(target) = &mut self.target {
             target.record_answer(now, status.clock_ms);
+            target.polled_at = target.polled_at.max(polled_at);
         }
         for ended in &status.ended {
             self.apply_end(now, ended);
@@ -237,6 +238,7 @@
         let run = running.task.as_ref().and_then(|task| self.runs.get_mut(task));
         if let Some(run) = run.filter(|run| run.attempt == running.attempt) {
             run.started_at.get_or_insert(now);
+            run.over_by = None;
         }
     }
 
@@ -336,6 +338,22 @@
         }
     }
 
+    /// Settles the runs that may have begun at a restarted target which has not listed them: their
+    /// leases have expired, unless the target is known and its lease is renewed.
+    pub(super) fn settle_runs_of_restarted_target(&mut self, now: BootTime) {
+        let due = self.runs.values().filter(|run| run.over_by.is_some_and(|at| now > at));
+        for task in due.map(|run| run.task.clone()).collect::<Vec<_>>() {
+            if self.target.is_none() {
+                self.finish(now, &task, RunOutcome::Lost);
+                continue;
+            }
+            if let Some(run) = self.runs.get_mut(&task) {
+                run.over_by = None;
+            }
+            self.request_stop(now, &task);
+        }
+    }
+
     /// Finishes all runs as lost once the lease of a target that does not answer has expired.
     pub(super) fn finish_runs_of_silent_target(&mut self, now: BootTime) {
         let Some(target) = &self.target else { return };
@@ -344,7 +362,9 @@
         if !is_silent || now <= target.lease_ends_at {
             return;
         }
-        for task in self.runs.keys().cloned().collect::<Vec<_>>() {
+        // The lease of an earlier incarnation bounds those that may have begun at a restarted target.
+        let over = self.runs.values().filter(|run| run.over_by.is_none());
+        for task in over.map(|run| run.task.clone()).collect::<Vec<_>>() {
             self.finish(now, &task, RunOutcome::Lost);
         }
     }
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -236,6 +236,7 @@
         self.stop_orphaned_runs(now);
         self.resend_stops(now);
         self.finish_runs_of_silent_target(now);
+        self.settle_runs_of_restarted_target(now);
         self.remove_entries(now);
     }
 
--- a/crates/bulrushlatch_dispatch/src/agent/orders.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/orders.rs
@@ -64,6 +64,7 @@
             start_sent_at: now,
             started_at: None,
             unanswered_starts: 0,
+            over_by: None,
             stop_requested_at: None,
             stop_sent_at: None,
             stop_answered_at: None,
--- a/crates/bulrushlatch_dispatch/src/agent/run.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/run.rs
@@ -33,6 +33,8 @@
     /// Number of start orders of this attempt that got no answer. If any, the run may have started,
     /// and may have ended.
     pub unanswered_starts: u32,
+    /// Time by which the run is over, if it began at a restarted target that is yet to list it.
+    pub over_by: Option<BootTime>,
     /// When a stop was first requested.
     pub stop_requested_at: Option<BootTime>,
     /// When the last stop order was sent to the target.
--- a/crates/bulrushlatch_dispatch/src/agent/target.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/target.rs
@@ -118,8 +118,10 @@
 pub enum PollError {
     /// Nothing listens at the target's address: the target is not running.
     Absent,
-    /// Another incarnation of the target answered.
+    /// Another incarnation of the target answered, which refuses orders for this one.
     OtherTarget,
+    /// Another incarnation of the target answered, which obeys orders for this one.
+    Restarted,
     /// No answer came, or one that cannot be read.
     NoAnswer,
 }
@@ -133,6 +135,8 @@
     pub clock_ms: TargetTimeMs,
     /// Latest time at which its lease may end, on the agent's clock.
     pub lease_ends_at: BootTime,
+    /// When the newest status poll that it answered was sent.
+    pub polled_at: BootTime,
     /// When it last answered a call.
     pub answered_at: Option<BootTime>,
     /// When a call to it last went unanswered.
@@ -153,6 +157,7 @@
             clock_ms: announcement.clock_ms,
             announcement,
             lease_ends_at: BootTime::ZERO,
+            polled_at: BootTime::ZERO,
             answered_at: None,
             unanswered_at: None,
             ends_seen: 0,
--- a/crates/bulrushlatch_dispatch/src/timing.rs
+++ b/crates/bulrushlatch_dispatch/src/timing.rs
@@ -49,6 +49,8 @@
     pub stop_grace: Duration,
     /// Length of a target's lease, on the target's clock.
     pub lease: Duration,
+    /// Longest lease that a target grants, on the target's clock.
+    pub longest_lease: Duration,
     /// Longest interval between two frames on a link in use: the entry has chosen the agent for
     /// placement, or still has runs there.
     pub heartbeat: Duration,
@@ -64,6 +66,7 @@
             contact_limit,
             stop_grace: resend_after.mul_f64(STOP_SHARE),
             lease: resend_after.mul_f64(LEASE_SHARE).min(longest_lease),
+            longest_lease,
             heartbeat: contact_limit.mul_f64(HEARTBEAT_SHARE),
         }
     }
@@ -83,6 +86,12 @@
         self.lease.div_f64(1.0 - CLOCK_DRIFT)
     }
 
+    /// Returns the longest time for which any lease that a target grants may last on the agent's
+    /// clock.
+    pub fn max_granted_lease_on_agent_clock(&self) -> Duration {
+        self.longest_lease.div_f64(1.0 - CLOCK_DRIFT)
+    }
+
     /// Returns the time by which all runs of an entry are over, counted from the newest stamp that
     /// the entry has echoed.
     pub fn all_runs_ended_after(&self) -> Duration {
--- a/crates/bulrushlatch_dispatch/tests/agent/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/main.rs
@@ -3,6 +3,7 @@
 mod cordon;
 mod fixture;
 mod heartbeats;
+mod restarted_target;
 
 use bulrushlatch_dispatch::{
     agent::target::{Announcement, PollError, RunEnd, StartReply, TargetStatus},
