--- a/crates/bulrushlatch_bin/tests/support/mod.rs
+++ b/crates/bulrushlatch_bin/tests/support/mod.rs
@@ -254,8 +254,18 @@
         });
     }
 
+    /// Returns the counters of every target. On a busy machine a target may answer late; its counters
+    /// are requested again, since without them the sums would be too low.
+    #[track_caller]
     fn target_counters(&self) -> Vec<Value> {
-        let counters = self.targets.iter().filter_map(|target| get_json(target.address, "/starts"));
+        let counters = self.targets.iter().map(|target| {
+            let mut counters = None;
+            let started_at = Instant::now();
+            while counters.is_none() && started_at.elapsed() < WAIT_TIMEOUT {
+                counters = get_json(target.address, "/starts");
+            }
+            counters.expect("the target answers")
+        });
         counters.collect()
     }
 }
