Frames of version 5: delegated jobs and demand

Change: frame version 5 with three new kinds of frame, left out on links to older builds. Nothing sends them yet. Existing frames are encoded as before (recorded bytes of version 3 in link_versions).

--- a/crates/bulrushlatch_dispatch/src/lib.rs
+++ b/crates/bulrushlatch_dispatch/src/lib.rs
@@ -11,6 +11,8 @@
 //! - [`entry`]: the process that accepts jobs, places their tasks and answers callers
 //! - [`directory`]: discovery of entries
 //! - [`cordon`]: availability zones that receive no new tasks
+//! - [`delegation`]: jobs that an entry has another one carry out
+//! - [`demand`]: demand that entries tell to agents
 //! - [`configuration_fetch`]: when an entry requests a configuration from a peer
 //! - [`configuration_transfer`]: the pieces in which it is sent
 //! - [`served_peers`]: how many peers are sent pieces at the same time
@@ -21,6 +23,8 @@
 pub mod configuration_fetch;
 pub mod configuration_transfer;
 pub mod cordon;
+pub mod delegation;
+pub mod demand;
 pub mod directory;
 pub mod entry;
 pub mod frame;
--- a/crates/bulrushlatch_dispatch/src/outcome.rs
+++ b/crates/bulrushlatch_dispatch/src/outcome.rs
@@ -45,8 +45,9 @@
 }
 
 /// The answer to a caller's request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
 #[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
 pub enum Answer {
     /// Every task is done.
     Completed,
@@ -73,8 +74,9 @@
 }
 
 /// Why a job was refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
 #[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
 pub enum Refusal {
     /// No configuration has been read yet.
     NoConfiguration,
--- a/crates/bulrushlatch_node/src/agent/links.rs
+++ b/crates/bulrushlatch_node/src/agent/links.rs
@@ -52,7 +52,7 @@
                 }
                 Frame::Entries(entries) => self.add_entries(&entries),
                 Frame::Cordons(notice) => self.handle_cordon_notice(link, notice),
-                Frame::Hello(_) | Frame::Agent(_) | Frame::Peer(_) => {}
+                _ => {}
             }
         }
         self.links.borrow_mut().remove(&link);
--- a/crates/bulrushlatch_node/src/link.rs
+++ b/crates/bulrushlatch_node/src/link.rs
@@ -4,9 +4,11 @@
 
 use bulrushlatch_dispatch::{
     cordon::CordonNotice,
+    delegation::DelegationFrame,
+    demand::{DemandStatement, DemandSummary},
     frame::{
-        AgentFrame, CORDON_FRAME_VERSION, EntryFrame, FrameVersion, Hello, NEWEST_FRAME_VERSION,
-        OLDEST_FRAME_VERSION, PeerFrame,
+        AgentFrame, CORDON_FRAME_VERSION, DELEGATION_FRAME_VERSION, DEMAND_FRAME_VERSION,
+        EntryFrame, FrameVersion, Hello, NEWEST_FRAME_VERSION, OLDEST_FRAME_VERSION, PeerFrame,
     },
 };
 use futures_util::{SinkExt, StreamExt};
@@ -48,6 +50,12 @@
     Entries(Vec<SocketAddr>),
     /// From an entry to an agent or another entry: cordoned zones, on a new link and after a change.
     Cordons(CordonNotice),
+    /// From an entry to another entry: delegated jobs and their answers.
+    Delegation(DelegationFrame),
+    /// From an entry to an agent that it uses.
+    Demand(DemandStatement),
+    /// From an agent to an entry that uses it.
+    DemandSummary(DemandSummary),
 }
 
 impl Frame {
@@ -58,6 +66,8 @@
                 OLDEST_FRAME_VERSION
             }
             Self::Cordons(_) => CORDON_FRAME_VERSION,
+            Self::Delegation(_) => DELEGATION_FRAME_VERSION,
+            Self::Demand(_) | Self::DemandSummary(_) => DEMAND_FRAME_VERSION,
         }
     }
 
