Busy time of a process's thread

Cause: an entry knows only how late its timer fires, which shows a lack of processor time when requests have waited for long already.

Change: the runtime's park hooks measure the time in which the only thread is busy; the entry keeps the average of the busy share and of the lag (processor_load.rs), and shows the share as a metric. No decision uses it yet.

--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -8,6 +8,7 @@
 //! - `dispatch`: places waiting tasks and stops stuck runs
 //! - `completion`: handles ended runs and ends jobs
 //! - [`placement`]: chooses the agent that starts a task
+//! - [`processor_load`]: how much of its VM's processor the entry uses
 //! - [`subset`]: chooses the agents that an entry uses
 //! - `agents`: links to agents, choice of those in use, loss of an agent
 //! - [`agent_view`]: state of an agent as the entry knows it
@@ -30,6 +31,7 @@
 pub mod late_limit;
 pub mod offered_load;
 pub mod placement;
+pub mod processor_load;
 pub mod rates;
 pub mod run_times;
 mod submission;
@@ -56,7 +58,8 @@
 
 use self::{
     agent_view::AgentView, answer_cache::AnswerCache, job_state::JobState, late_limit::LateLimit,
-    offered_load::OfferedLoad, rates::RouteDemands, run_times::RunTimes, waiting::WaitingTask,
+    offered_load::OfferedLoad, processor_load::ProcessorLoad, rates::RouteDemands,
+    run_times::RunTimes, waiting::WaitingTask,
 };
 
 /// Average lag of the tick timer above which no new jobs are accepted: heartbeats are due every
@@ -103,6 +106,7 @@
     is_shutting_down: bool,
     /// Moving average of how late the tick timer fires.
     lag: Duration,
+    processor_load: ProcessorLoad,
     /// When each service last had room for late jobs.
     spare_seen_at: BTreeMap<ServiceName, BootTime>,
     /// Time of the first event.
@@ -140,6 +144,7 @@
             entry_count: 1,
             is_shutting_down: false,
             lag: Duration::ZERO,
+            processor_load: ProcessorLoad::default(),
             spare_seen_at: BTreeMap::new(),
             started_at: BootTime::ZERO,
             last_event_at: BootTime::ZERO,
@@ -208,6 +213,17 @@
         }
     }
 
+    /// Records that this process's thread was busy for `busy` of the last `elapsed`, and that the timer
+    /// which ended that period fired `lag` late.
+    pub fn record_processor_load(&mut self, elapsed: Duration, busy: Duration, lag: Duration) {
+        self.processor_load.record(elapsed, busy, lag);
+    }
+
+    /// Returns the load of this process's thread.
+    pub fn processor_load(&self) -> &ProcessorLoad {
+        &self.processor_load
+    }
+
     /// Returns whether this process lags so much that further jobs would delay the open ones.
     fn is_lagging(&self) -> bool {
         self.lag > LAG_LIMIT
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -42,7 +42,7 @@
 use self::encoded_configuration::EncodedConfiguration;
 use crate::{
     boot_clock::SystemBootClock,
-    http_server,
+    busy_time, http_server,
     interface::{CallerInterface, KeyedRecord, SiteStore, Stream},
     link::{Frame, LinkSender},
     link_manager::{LinkManager, maintain_links},
@@ -199,12 +199,22 @@
     }
 
     async fn tick_until(&self, token: &CancellationToken) {
+        let mut measured_at = self.clock.now();
+        let mut busy_until_then = busy_time::busy_time(measured_at);
         while !token.is_cancelled() {
             self.with_core(|core, now| core.tick(now));
             self.check_store_contact();
             let due = self.clock.now() + TICK_INTERVAL;
             tokio::time::sleep(TICK_INTERVAL).await;
-            self.with_core(|core, now| core.record_lag(now.saturating_sub(due)));
+            let now = self.clock.now();
+            let lag = now.saturating_sub(due);
+            let elapsed = now.saturating_sub(measured_at);
+            let busy = busy_time::busy_time(now);
+            self.with_core(|core, _| {
+                core.record_lag(lag);
+                core.record_processor_load(elapsed, busy.saturating_sub(busy_until_then), lag);
+            });
+            (measured_at, busy_until_then) = (now, busy);
         }
     }
 
@@ -279,9 +289,11 @@
                 ),
             ],
         );
+        let busy_percent = (core.processor_load().busy_share() * 100.0) as u64;
         metrics::add_gauges(
             &mut registry,
             &[
+                ("busy_percent", "Busy share of the process's thread", busy_percent),
                 ("open_jobs", "Jobs being worked on", core.open_jobs() as u64),
                 ("waiting_tasks", "Tasks that wait for room", core.waiting_tasks() as u64),
                 ("version", "Configuration in force", core.version().unwrap_or_default()),
--- a/crates/bulrushlatch_node/src/lib.rs
+++ b/crates/bulrushlatch_node/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod agent;
 pub mod boot_clock;
+pub mod busy_time;
 pub mod call_gate;
 pub mod cordon_records;
 pub mod entry;
--- a/crates/bulrushlatch_node/src/one_thread.rs
+++ b/crates/bulrushlatch_node/src/one_thread.rs
@@ -4,9 +4,13 @@
 
 use tokio::{runtime::Builder, task::LocalSet};
 
+use crate::busy_time;
+
 /// Runs a process on the current thread until it ends; prints an error to standard error.
 pub fn run<E: Debug>(name: &str, process: impl Future<Output = Result<(), E>>) -> ExitCode {
-    let runtime = match Builder::new_current_thread().enable_all().build() {
+    let mut builder = Builder::new_current_thread();
+    builder.on_thread_park(busy_time::record_park).on_thread_unpark(busy_time::record_unpark);
+    let runtime = match builder.enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("{name}: cannot set up the runtime: {error}");
