Agents: start orders wait a short time for a run to end

It is refused as not started when the wait has passed, when the entry stops it or is silent, and when the target leaves or its zone is cordoned. No frame changes. The fuzz of one run per task plays with it.

--- a/crates/bulrushlatch_dispatch/src/agent/frames.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/frames.rs
@@ -47,7 +47,7 @@
     }
 
     fn offer(&self, now: BootTime) -> Offer {
-        Offer { free: self.free(now), accepts: self.accepts(now) }
+        Offer { free: self.unclaimed(now), accepts: self.accepts(now) }
     }
 
     /// Makes the next frame on each link carry the target's profile.
--- a/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
@@ -379,7 +379,7 @@
         }
     }
 
-    /// Removes a run and reports its outcome to its entry.
+    /// Removes a run, reports its outcome to its entry and starts tasks that wait for its capacity.
     pub(super) fn finish(&mut self, now: BootTime, task: &TaskKey, outcome: RunOutcome) {
         let Some(run) = self.runs.remove(task) else { return };
         match outcome {
@@ -404,6 +404,7 @@
         if let Some(session) = self.sessions.get_mut(&run.owner) {
             session.push(report);
         }
+        self.start_queued(now);
         self.mark_pending_update();
     }
 }
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -6,6 +6,7 @@
 //! - `lifecycle`: starts, stops and ends the runs at the target
 //! - [`run`]: one run of a task
 //! - [`session`]: the state kept for each entry
+//! - [`start_queue`]: start orders that wait until a run ends
 //! - [`target`]: what is known of the target
 //! - [`health`]: ejection of a target at which jobs fail
 
@@ -16,6 +17,7 @@
 mod orders;
 pub mod run;
 pub mod session;
+pub mod start_queue;
 pub mod target;
 
 use std::{
@@ -38,6 +40,7 @@
     health::{Health, HealthState},
     run::Run,
     session::Session,
+    start_queue::StartQueue,
     target::{Announcement, Target, TargetId, TargetTimeMs},
 };
 
@@ -69,6 +72,10 @@
 pub struct AgentCounters {
     /// Start orders accepted.
     pub starts: u64,
+    /// Start orders that found no capacity and waited for it.
+    pub queued_starts: u64,
+    /// Start orders accepted after they had waited.
+    pub started_from_queue: u64,
     /// Runs whose task was done.
     pub done: u64,
     /// Runs that failed.
@@ -97,6 +104,8 @@
     /// Incarnations of the target that are over; late announcements of them are ignored.
     past_targets: BTreeSet<TargetId>,
     runs: BTreeMap<TaskKey, Run>,
+    /// Holds no task of which there is a run.
+    start_queue: StartQueue,
     sessions: BTreeMap<ProcessId, Session>,
     /// Highest number of a report to a removed entry. The entry may still know this agent, and
     /// accepts only reports with higher numbers than it has seen.
@@ -118,6 +127,7 @@
             successor: None,
             past_targets: BTreeSet::new(),
             runs: BTreeMap::new(),
+            start_queue: StartQueue::default(),
             sessions: BTreeMap::new(),
             last_removed_report: 0,
             health: Health::default(),
@@ -138,9 +148,9 @@
         self.target.as_ref().map(|target| &target.announcement.id)
     }
 
-    /// Returns whether there are no runs.
+    /// Returns whether there are no runs and no start order waits.
     pub fn is_idle(&self) -> bool {
-        self.runs.is_empty()
+        self.runs.is_empty() && self.start_queue.is_empty()
     }
 
     /// Removes and returns the orders to send to the target.
@@ -237,6 +247,7 @@
         self.resend_stops(now);
         self.finish_runs_of_silent_target(now);
         self.settle_runs_of_restarted_target(now);
+        self.start_queued(now);
         self.remove_entries(now);
     }
 
--- a/crates/bulrushlatch_dispatch/src/agent/orders.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/orders.rs
@@ -5,9 +5,10 @@
     frame::{Action, EntryFrame, Report, StartOrder},
     ids::{LinkId, OrderNumber, ProcessId, TaskKey},
     outcome::{Obstacle, RunOutcome},
+    size::Size,
 };
 
-use super::{Agent, TargetOrder, run::Run};
+use super::{Agent, TargetOrder, run::Run, start_queue::QueuedStart};
 
 impl Agent {
     /// Handles a frame from an entry.
@@ -47,17 +48,26 @@
         order: OrderNumber,
         start: StartOrder,
     ) {
-        if let Some(obstacle) = self.start_obstacle(now, entry, &start) {
-            self.refuse_start(entry, order, start, obstacle);
-            return;
+        let unclaimed = self.unclaimed(now);
+        let obstacle = self.start_obstacle(now, entry, &start, &unclaimed);
+        let queued = QueuedStart { entry: entry.clone(), order, start, queued_at: now };
+        match obstacle {
+            None => self.begin_run(now, queued),
+            Some(Obstacle::NoCapacity) => self.queue_start(queued),
+            Some(obstacle) => self.refuse_start(queued, obstacle),
         }
+    }
+
+    /// Tracks a run and orders its start at the target.
+    pub(super) fn begin_run(&mut self, now: BootTime, queued: QueuedStart) {
         self.counters.starts += 1;
+        let QueuedStart { entry, order, start, .. } = queued;
         let task = start.task;
         let run = Run {
             task: task.clone(),
             attempt: start.attempt,
             size: start.size,
-            owner: entry.clone(),
+            owner: entry,
             order,
             payload: start.payload,
             has_failed: start.has_failed,
@@ -74,34 +84,30 @@
         self.mark_pending_update();
     }
 
-    /// Returns why a start order must be refused, if it must.
-    fn start_obstacle(
+    /// Returns why a task may not start with `free` capacity, if it may not.
+    pub(super) fn start_obstacle(
         &self,
         now: BootTime,
         entry: &ProcessId,
         start: &StartOrder,
+        free: &Size,
     ) -> Option<Obstacle> {
         let alive_at = self.sessions.get(entry).map_or(BootTime::ZERO, |session| session.alive_at);
         if now.saturating_sub(alive_at) > self.timing.contact_limit {
             Some(Obstacle::StaleOrder)
         } else if !self.accepts(now) {
             Some(Obstacle::Unavailable)
-        } else if self.runs.contains_key(&start.task) {
+        } else if self.runs.contains_key(&start.task) || self.start_queue.contains(&start.task) {
             Some(Obstacle::StillRunning)
-        } else if !start.size.fits(&self.free(now)) {
+        } else if !start.size.fits(free) {
             Some(Obstacle::NoCapacity)
         } else {
             None
         }
     }
 
-    fn refuse_start(
-        &mut self,
-        entry: &ProcessId,
-        order: OrderNumber,
-        start: StartOrder,
-        obstacle: Obstacle,
-    ) {
+    pub(super) fn refuse_start(&mut self, queued: QueuedStart, obstacle: Obstacle) {
+        let QueuedStart { entry, order, start, .. } = queued;
         self.counters.not_started += 1;
         let is_cordoned = self.is_cordoned();
         tracing::info!(task = %start.task, %entry, %obstacle, is_cordoned, "start refused");
@@ -113,7 +119,7 @@
             outcome: RunOutcome::NotStarted(obstacle),
             ran_ms: 0,
         };
-        if let Some(session) = self.sessions.get_mut(entry) {
+        if let Some(session) = self.sessions.get_mut(&entry) {
             session.push(report);
         }
     }
@@ -126,6 +132,9 @@
         order: OrderNumber,
         is_stuck: bool,
     ) {
+        if self.cancel_queued_start(entry, order) {
+            return;
+        }
         let Some(run) = self.runs.get(task) else { return };
         if run.order != order || run.owner != *entry {
             return;
--- a/crates/bulrushlatch_dispatch/tests/agent/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/main.rs
@@ -4,6 +4,7 @@
 mod fixture;
 mod heartbeats;
 mod restarted_target;
+mod start_queue;
 
 use bulrushlatch_dispatch::{
     agent::target::{Announcement, PollError, RunEnd, StartReply, TargetStatus},
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/mod.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/mod.rs
@@ -63,6 +63,8 @@
 const NO_NEW_JOBS_MS: u64 = 2_500;
 /// Interval between two ticks of a process.
 const TICK_MS: u64 = 20;
+/// Time for which a start order may wait at an agent.
+const MAX_START_WAIT: Duration = Duration::from_millis(20);
 /// Interval between attempts to open missing links.
 const DIAL_MS: u64 = 30;
 /// Time after which an agent treats an order as unanswered.
--- a/crates/bulrushlatch_node/src/agent/flags.rs
+++ b/crates/bulrushlatch_node/src/agent/flags.rs
@@ -29,6 +29,8 @@
         optional --resend-after-ms ms: String
         /// Longest lease that targets grant, in ms (default 1000)
         optional --longest-lease-ms ms: String
+        /// Time for which a start order may wait for a run to end, in ms (default 0: none waits)
+        optional --max-start-wait-ms ms: String
         /// Time between SIGTERM and SIGKILL, in s (default 6)
         optional --grace-s seconds: String
         /// Format of log lines: text or json (default json)
@@ -52,6 +54,7 @@
     pub metrics_listen: Option<String>,
     pub resend_after_ms: Option<String>,
     pub longest_lease_ms: Option<String>,
+    pub max_start_wait_ms: Option<String>,
     pub grace_s: Option<String>,
     pub log_format: Option<String>,
     pub log_level: Option<String>,
--- a/crates/bulrushlatch_node/src/agent/mod.rs
+++ b/crates/bulrushlatch_node/src/agent/mod.rs
@@ -95,13 +95,15 @@
             .await
             .change_context(StartError::BindHttpAddress(settings.announcement_listen))?;
         let common = &settings.common;
+        let mut core = Agent::new(common.timing);
+        core.set_max_start_wait(settings.max_start_wait);
         let process = Rc::new(Self {
             id: ProcessId { name: common.name.clone(), incarnation: fastrand::u64(1..) },
             clock: SystemBootClock,
             target,
             announcement_interface,
             store,
-            core: RefCell::new(Agent::new(common.timing)),
+            core: RefCell::new(core),
             links: RefCell::default(),
             link_manager: LinkManager::new(&common.seeds, None),
             last_link: Cell::new(0),
@@ -253,6 +255,16 @@
             &mut registry,
             &[
                 ("start_orders", "Start orders taken", counters.starts),
+                (
+                    "queued_starts",
+                    "Start orders that waited for a run to end",
+                    counters.queued_starts,
+                ),
+                (
+                    "starts_from_queue",
+                    "Start orders taken after they had waited",
+                    counters.started_from_queue,
+                ),
                 ("done_runs", "Runs that were done", counters.done),
                 ("failed_runs", "Runs that failed", counters.failed),
                 ("stopped_runs", "Runs that were stopped", counters.stopped),
--- a/crates/bulrushlatch_node/src/settings.rs
+++ b/crates/bulrushlatch_node/src/settings.rs
@@ -71,6 +71,8 @@
     pub announcement_listen: SocketAddr,
     /// Address on which the target accepts calls.
     pub target: SocketAddr,
+    /// Time for which a start order may wait for a run to end; zero if none may wait.
+    pub max_start_wait: Duration,
 }
 
 struct CommonFlags {
@@ -190,7 +192,9 @@
         let announcement_listen =
             read_address(&mut reader, "announcement-listen", flags.announcement_listen);
         let target = read_address(&mut reader, "target", flags.target);
+        let max_start_wait =
+            reader.millis("max-start-wait-ms", flags.max_start_wait_ms, Duration::ZERO);
         let common = read_common(&mut reader, common_flags!(flags));
-        reader.finish(Self { common, announcement_listen, target })
+        reader.finish(Self { common, announcement_listen, target, max_start_wait })
     }
 }
