Log lines beyond the rate limit are dropped before they are formatted

Cause: the thread that writes log lines applied the limit of 400 lines per second, so that a busy entry formatted and queued all of its lines and then dropped most of them. Each line also woke that thread and took a system call.

Change: a layer decides before an event is formatted. The writing thread pauses for 20 ms after each write, so that the lines of one pause share a wake-up and a write. A filter that is just a level needs no filter of directives.

--- a/crates/bulrushlatch_runtime/src/logging.rs
+++ b/crates/bulrushlatch_runtime/src/logging.rs
@@ -3,7 +3,7 @@
 use std::{
     io::Write,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     thread,
@@ -11,15 +11,27 @@
 };
 
 use crossbeam::channel::{Receiver, Sender, bounded};
-use tracing_subscriber::{EnvFilter, fmt::MakeWriter};
+use tracing::{Event, Subscriber};
+use tracing_subscriber::{
+    EnvFilter, Layer,
+    filter::LevelFilter,
+    fmt::{
+        Formatter, MakeWriter, SubscriberBuilder,
+        format::{DefaultFields, Format, Json, JsonFields},
+    },
+    layer::{Context, SubscriberExt},
+    util::SubscriberInitExt,
+};
 
 /// Maximum number of lines that wait to be written; further ones are dropped and counted.
 const MAX_QUEUED_LINES: usize = 2_000;
-/// Maximum number of lines written per second, to bound the CPU time; further ones are dropped and
-/// counted.
+/// Maximum number of lines per second, to bound the CPU time; further ones are dropped and counted.
 const MAX_LINES_PER_S: u64 = 400;
 /// Window of the rate limit.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
+/// Pause of the writing thread after each write. The lines of one pause share a system call and a
+/// wake-up of the thread, which cost more than formatting a line.
+const WRITE_INTERVAL: Duration = Duration::from_millis(20);
 /// Time to write the last lines of a process: a blocked output must not delay its end.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -63,23 +75,79 @@
 
 /// Starts logging; `filter` is a level or a filter directive, and `info` if it is invalid.
 pub fn init_logging(format: LogFormat, filter: &str, output: LogOutput) -> LogGuard {
-    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
     let (messages, queue) = bounded(MAX_QUEUED_LINES);
     let guard = LogGuard { messages: messages.clone() };
     let dropped_lines = Arc::new(AtomicU64::new(0));
     let writer_dropped_lines = Arc::clone(&dropped_lines);
     thread::spawn(move || match output {
-        LogOutput::Stdout => write_lines(&queue, &writer_dropped_lines, std::io::stdout),
-        LogOutput::Stderr => write_lines(&queue, &writer_dropped_lines, std::io::stderr),
+        LogOutput::Stdout => write_lines(&queue, &writer_dropped_lines, std::io::stdout()),
+        LogOutput::Stderr => write_lines(&queue, &writer_dropped_lines, std::io::stderr()),
     });
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_target(false);
-    let builder = builder.with_writer(LineWriter { messages, dropped_lines });
+    let rate_limit = RateLimit::new(Arc::clone(&dropped_lines));
+    let writer = LineWriter { messages, dropped_lines };
+    let builder = tracing_subscriber::fmt().with_target(false).with_writer(writer);
+    // A level is compared directly; directives need a filter that is looked up for each call site.
+    match filter.parse::<LevelFilter>() {
+        Ok(level) => init_subscriber(format, builder.with_max_level(level), rate_limit),
+        Err(_) => {
+            let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
+            init_subscriber(format, builder.with_env_filter(filter), rate_limit);
+        }
+    }
+    guard
+}
+
+/// Makes the subscriber that `builder` describes the global one, below the rate limit.
+fn init_subscriber<F>(
+    format: LogFormat,
+    builder: SubscriberBuilder<DefaultFields, Format, F, LineWriter>,
+    rate_limit: RateLimit,
+) where
+    F: Layer<Formatter<DefaultFields, Format, LineWriter>> + Send + Sync + 'static,
+    F: Layer<Formatter<JsonFields, Format<Json>, LineWriter>>,
+{
     // Fails on a second call in one process, which keeps the first subscriber.
     let _ = match format {
-        LogFormat::Text => builder.with_ansi(false).try_init(),
-        LogFormat::Json => builder.json().flatten_event(true).try_init(),
+        LogFormat::Text => builder.with_ansi(false).finish().with(rate_limit).try_init(),
+        LogFormat::Json => builder.json().flatten_event(true).finish().with(rate_limit).try_init(),
     };
-    guard
+}
+
+/// Drops events beyond [`MAX_LINES_PER_S`] before they are formatted.
+#[derive(Debug)]
+struct RateLimit {
+    window: Mutex<RateWindow>,
+    dropped_lines: Arc<AtomicU64>,
+}
+
+#[derive(Debug)]
+struct RateWindow {
+    started_at: Instant,
+    /// Lines accepted since then.
+    lines: u64,
+}
+
+impl RateLimit {
+    fn new(dropped_lines: Arc<AtomicU64>) -> Self {
+        let window = RateWindow { started_at: Instant::now(), lines: 0 };
+        Self { window: Mutex::new(window), dropped_lines }
+    }
+}
+
+impl<S: Subscriber> Layer<S> for RateLimit {
+    fn event_enabled(&self, _event: &Event<'_>, _context: Context<'_, S>) -> bool {
+        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
+        if window.started_at.elapsed() >= RATE_WINDOW {
+            *window = RateWindow { started_at: Instant::now(), lines: 0 };
+        }
+        let is_accepted = window.lines < MAX_LINES_PER_S;
+        if is_accepted {
+            window.lines += 1;
+        } else {
+            self.dropped_lines.fetch_add(1, Ordering::Relaxed);
+        }
+        is_accepted
+    }
 }
 
 /// Message to the thread that writes the lines.
@@ -118,34 +186,30 @@
     }
 }
 
-fn write_lines<W: Write>(queue: &Receiver<Message>, dropped_lines: &AtomicU64, output: fn() -> W) {
-    let mut window_start = Instant::now();
-    let mut written_count = 0;
-    for message in queue {
-        let line = match message {
-            Message::Line(line) => line,
-            Message::Flush(done) => {
-                // Fails if the guard has stopped waiting.
-                let _ = done.send(());
-                continue;
+/// Writes the queued lines every [`WRITE_INTERVAL`] until the queue is closed.
+fn write_lines<W: Write>(queue: &Receiver<Message>, dropped_lines: &AtomicU64, mut output: W) {
+    let mut lines = Vec::new();
+    while let Ok(first) = queue.recv() {
+        let mut flushed = Vec::new();
+        for message in std::iter::once(first).chain(queue.try_iter()) {
+            match message {
+                Message::Line(line) => lines.extend(line),
+                Message::Flush(done) => flushed.push(done),
             }
-        };
-        if window_start.elapsed() >= RATE_WINDOW {
-            window_start = Instant::now();
-            written_count = 0;
-        }
-        if written_count >= MAX_LINES_PER_S {
-            dropped_lines.fetch_add(1, Ordering::Relaxed);
-            continue;
         }
-        written_count += 1;
-        let mut out = output();
         let dropped_count = dropped_lines.swap(0, Ordering::Relaxed);
-        // A closed output leaves no way to report the error.
         if dropped_count > 0 {
-            let _ =
-                writeln!(out, "{{\"message\":\"log lines left out\",\"count\":{dropped_count}}}");
+            let report =
+                format!("{{\"message\":\"log lines left out\",\"count\":{dropped_count}}}\n");
+            lines.extend(report.into_bytes());
+        }
+        // A closed output leaves no way to report the error.
+        let _ = output.write_all(&lines).and_then(|()| output.flush());
+        lines.clear();
+        for done in flushed {
+            // Fails if the guard has stopped waiting.
+            let _ = done.send(());
         }
-        let _ = out.write_all(&line);
+        thread::sleep(WRITE_INTERVAL);
     }
 }
