--- a/crates/bulrushlatch_dispatch/tests/load/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod overload;
 mod processor_cost;
+mod processor;
 mod restart;
 mod site;
 #[path = "../support/mod.rs"]
