Delegation of jobs between entries

Change: an entry whose thread is busy for more than 70% of the time has other entries with spare processor time carry out a share of its new jobs. It reads only the head of a request. The share follows the busy share; delegates offer the rate that they take. Runs of such jobs are bound to the origin's liveness: a delegate echoes to an agent no stamp that is newer than what the origins of the runs there have proved, and starts a run only where that holds.

No measurement under load yet.

--- a/crates/bulrushlatch_dispatch/src/delegation.rs
+++ b/crates/bulrushlatch_dispatch/src/delegation.rs
@@ -5,22 +5,28 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::outcome::Answer;
+use crate::{ids::ZoneName, outcome::Answer};
 
-/// Number of a delegated job, counted by its origin separately for each link.
+/// Number of a delegated job, counted by its origin.
 pub type DelegationNumber = u64;
 
 /// Sent from an entry to another while one of them has a job of the other, or may delegate jobs.
 ///
-/// Both entries are origins and delegates at the same time.
+/// Both entries can be origin and delegate at the same time.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct DelegationFrame {
     /// The sender's clock in ms when it sent the frame; the receiver echoes it.
     pub stamp_ms: u64,
     /// The newest `stamp_ms` received on this link; 0 before the first.
     pub stamp_echo_ms: u64,
-    /// Jobs per second that the sender's spare processor time suffices for, 0 if it takes none.
-    pub spare_jobs_per_s: u32,
+    /// Whether the sender uses the receiver as a delegate and needs a frame in return, whose stamp it
+    /// will echo.
+    pub wants_reply: bool,
+    /// Jobs per second that the sender takes from the receiver, those included that it takes at
+    /// present; 0 if it takes none.
+    pub max_jobs_per_s: u32,
+    /// The sender's availability zone, sent every few hundred ms; otherwise empty.
+    pub zone: ZoneName,
     /// Jobs that the receiver is to carry out.
     pub jobs: Vec<DelegatedJob>,
     /// Jobs whose callers the sender has lost; the receiver stops them.
@@ -42,8 +48,6 @@
     pub path: String,
     /// Time for which the caller waits from now on, in ms; `None` if it set no deadline.
     pub remaining_ms: Option<u64>,
-    /// Time since the origin received the request, in ms.
-    pub waited_ms: u64,
     /// Body of the request.
     pub body: String,
 }
@@ -53,6 +57,17 @@
 pub struct DelegatedAnswer {
     /// Number of the job.
     pub number: DelegationNumber,
+    /// How the job ended.
+    pub outcome: DelegatedOutcome,
+}
+
+/// How a delegated job ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DelegatedOutcome {
+    /// The delegate did not take the job, which has not run and will not run there. The origin
+    /// carries it out itself.
+    NotTaken,
     /// The answer for the caller.
-    pub answer: Answer,
+    Answered(Answer),
 }
--- a/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -16,6 +16,14 @@
     timing::Timing,
 };
 
+use super::{
+    delegation::{
+        fresh_limit,
+        proofs::{LivenessProofs, OriginId},
+    },
+    stamps::StampHistory,
+};
+
 /// Share of the contact limit without a frame after which nothing new is placed at an agent.
 const FRESH_SHARE: f64 = 0.5;
 
@@ -38,6 +46,9 @@
     pub cpu_millis: u64,
     /// Expected run time.
     pub run_time: Duration,
+    /// The entry whose caller waits for the job, if it is another one. As long as the run may be
+    /// open, stamps are echoed to the agent only up to that entry's liveness proof.
+    pub origin: Option<OriginId>,
 }
 
 /// One incarnation of an agent, as this entry sees it.
@@ -62,8 +73,8 @@
     pub received_at: BootTime,
     /// Whether a frame has arrived on the present link.
     is_synced: bool,
-    /// Stamp of the last frame, to be echoed.
-    stamp_ms: u64,
+    /// Stamps of the frames, to be echoed.
+    stamps: StampHistory,
     reports_seen: ReportNumber,
     last_order: OrderNumber,
     /// Orders for the next frame.
@@ -90,7 +101,7 @@
             offer: Offer::default(),
             received_at: now,
             is_synced: false,
-            stamp_ms: 0,
+            stamps: StampHistory::default(),
             reports_seen: 0,
             last_order,
             pending: Vec::new(),
@@ -134,7 +145,7 @@
             self.profile = profile.clone();
         }
         self.received_at = now;
-        self.stamp_ms = frame.stamp_ms;
+        self.stamps.record(now, frame.stamp_ms);
         undelivered
     }
 
@@ -209,11 +220,16 @@
     }
 
     /// Adds an order to start a task, which is expected to take `run_time`, to the next frame;
-    /// returns the order's number.
-    pub fn issue_start(&mut self, start: StartOrder, run_time: Duration) -> OrderNumber {
+    /// returns the order's number. `origin` is the entry whose caller waits, if it is another one.
+    pub fn issue_start(
+        &mut self,
+        start: StartOrder,
+        run_time: Duration,
+        origin: Option<OriginId>,
+    ) -> OrderNumber {
         let (task, cpu_millis) = (start.task.clone(), start.size.cpu_millis);
         let order = self.issue_order(Action::Start(start));
-        self.runs.insert(task, OrderedRun { order, cpu_millis, run_time });
+        self.runs.insert(task, OrderedRun { order, cpu_millis, run_time, origin });
         order
     }
 
@@ -242,8 +258,19 @@
         !self.pending.is_empty() || self.sent_at.is_zero()
     }
 
-    /// Returns the frame to send now: pending orders or a due heartbeat, if any.
-    pub fn frame(&mut self, now: BootTime, timing: &Timing) -> Option<(LinkId, EntryFrame)> {
+    /// Returns when the newest stamp that has been echoed was received.
+    pub fn echoed_at(&self) -> BootTime {
+        self.stamps.echoed_at()
+    }
+
+    /// Returns the frame to send now: pending orders or a due heartbeat, if any. Its echo is bounded by
+    /// the proofs of the origins whose runs are open here.
+    pub fn frame(
+        &mut self,
+        now: BootTime,
+        timing: &Timing,
+        proofs: &LivenessProofs,
+    ) -> Option<(LinkId, EntryFrame)> {
         let link = self.link?;
         let interval =
             if self.is_in_use { timing.heartbeat } else { timing.idle_heartbeat(self.version) };
@@ -252,8 +279,10 @@
             return None;
         }
         self.sent_at = now;
+        let origins = self.runs.values().filter_map(|run| run.origin);
+        let bound = proofs.bound(now, fresh_limit(timing), origins);
         let frame = EntryFrame {
-            stamp_echo_ms: self.stamp_ms,
+            stamp_echo_ms: self.stamps.echo(bound),
             reports_seen: self.reports_seen,
             is_in_use: self.is_in_use,
             orders: std::mem::take(&mut self.pending),
--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -52,6 +52,7 @@
         };
         let Some(job) = self.jobs.get_mut(&key.job) else { return true };
         let Some(step) = job.request.steps.get(key.step as usize) else { return true };
+        let origin = self.delegation.origin_of(&job.callers);
         let (size, payload) = (step.size, job.request.payload.clone());
         let expected = self.run_times.expected(&job.route.name, step.estimate);
         let Some(task) = job.task_mut(key) else { return true };
@@ -59,7 +60,7 @@
         let (attempt, has_failed) = (task.attempt, task.failed_runs > 0);
         let start = StartOrder { task: key.clone(), attempt, payload, size, has_failed };
         let Some(view) = self.agents.get_mut(&agent) else { return false };
-        let order = view.issue_start(start, expected);
+        let order = view.issue_start(start, expected, origin);
         self.agents_with_orders.push(agent.clone());
         task.phase = Phase::Placed { agent, order, placed_at: now, is_stopping: false };
         self.counters.start_orders += 1;
@@ -84,8 +85,11 @@
         let job = self.jobs.get(&key.job)?;
         let step = job.request.steps.get(key.step as usize)?;
         let task = job.task(key)?;
+        let origin = self.delegation.origin_of(&job.callers);
         let available = self.agents.iter().filter(|(_, view)| {
-            view.is_available(now, &self.timing) && view.profile.service == job.route.service
+            view.is_available(now, &self.timing)
+                && view.profile.service == job.route.service
+                && self.delegation.may_start(origin, key, view)
         });
         let candidates = available.map(|(agent, view)| Candidate {
             agent,
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -8,10 +8,12 @@
 //! - `dispatch`: places waiting tasks and stops stuck runs
 //! - `completion`: handles ended runs and ends jobs
 //! - [`placement`]: chooses the agent that starts a task
+//! - [`delegation`]: jobs that other entries carry out, and jobs carried out for them
 //! - [`processor_load`]: how much of its VM's processor the entry uses
 //! - [`subset`]: chooses the agents that an entry uses
 //! - `agents`: links to agents, choice of those in use, loss of an agent
 //! - [`agent_view`]: state of an agent as the entry knows it
+//! - [`stamps`]: stamps of an agent, and which of them is echoed
 //! - [`job_state`]: state of an open job and its tasks
 //! - [`job_times`]: times that bound a job, as seen when it arrives
 //! - [`counters`]: counters for the metrics
@@ -25,6 +27,7 @@
 pub mod answer_cache;
 mod completion;
 pub mod counters;
+pub mod delegation;
 mod dispatch;
 pub mod job_state;
 pub mod job_times;
@@ -34,6 +37,7 @@
 pub mod processor_load;
 pub mod rates;
 pub mod run_times;
+pub mod stamps;
 mod submission;
 pub mod subset;
 mod supply;
@@ -57,9 +61,9 @@
 pub use self::{counters::EntryCounters, submission::Submission};
 
 use self::{
-    agent_view::AgentView, answer_cache::AnswerCache, job_state::JobState, late_limit::LateLimit,
-    offered_load::OfferedLoad, processor_load::ProcessorLoad, rates::RouteDemands,
-    run_times::RunTimes, waiting::WaitingTask,
+    agent_view::AgentView, answer_cache::AnswerCache, delegation::Delegation, job_state::JobState,
+    late_limit::LateLimit, offered_load::OfferedLoad, processor_load::ProcessorLoad,
+    rates::RouteDemands, run_times::RunTimes, waiting::WaitingTask,
 };
 
 /// Average lag of the tick timer above which no new jobs are accepted: heartbeats are due every
@@ -117,12 +121,14 @@
     /// Agents for which a frame is to be sent before the next heartbeat.
     agents_with_orders: Vec<ProcessId>,
     answers: Vec<(CallerId, Answer)>,
+    delegation: Delegation,
     counters: EntryCounters,
 }
 
 impl Entry {
     /// Returns an entry without configuration, agents or jobs.
     pub fn new(timing: Timing, zone: String, seed: u64) -> Self {
+        let delegation = Delegation::disabled(&zone);
         Self {
             timing,
             zone,
@@ -151,6 +157,7 @@
             heartbeats_checked_at: BootTime::ZERO,
             agents_with_orders: Vec::new(),
             answers: Vec::new(),
+            delegation,
             counters: EntryCounters::default(),
         }
     }
@@ -160,9 +167,9 @@
         self.counters
     }
 
-    /// Returns the number of open jobs.
+    /// Returns the number of open jobs, delegated ones included.
     pub fn open_jobs(&self) -> usize {
-        self.jobs.len()
+        self.jobs.len() + self.delegation.outgoing().len()
     }
 
     /// Returns the number of tasks that wait for capacity.
@@ -246,11 +253,13 @@
         for job in self.jobs.keys().cloned().collect::<Vec<_>>() {
             self.give_up_job(now, &job);
         }
+        self.interrupt_all_delegated("origin suspended or stopping");
     }
 
     /// Removes and returns the answers that are ready.
     pub fn take_answers(&mut self) -> Vec<(CallerId, Answer)> {
-        std::mem::take(&mut self.answers)
+        let answers = std::mem::take(&mut self.answers);
+        self.route_answers(answers)
     }
 
     /// Returns the frames to send now, with their links.
@@ -259,12 +268,14 @@
         if now.saturating_sub(self.heartbeats_checked_at) >= HEARTBEAT_CHECK_INTERVAL {
             self.heartbeats_checked_at = now;
             self.agents_with_orders.clear();
-            return self.agents.values_mut().filter_map(|view| view.frame(now, &timing)).collect();
+            let proofs = &self.delegation.proofs;
+            let views = self.agents.values_mut();
+            return views.filter_map(|view| view.frame(now, &timing, proofs)).collect();
         }
         let mut frames = Vec::new();
         for agent in self.agents_with_orders.drain(..) {
             let view = self.agents.get_mut(&agent);
-            frames.extend(view.and_then(|view| view.frame(now, &timing)));
+            frames.extend(view.and_then(|view| view.frame(now, &timing, &self.delegation.proofs)));
         }
         frames
     }
@@ -326,6 +337,7 @@
         self.record_spare_capacity(now);
         self.end_hopeless_jobs(now);
         self.place_waiting_tasks(now);
+        self.tick_delegation(now);
     }
 
     /// Records the time of an event. If the process was suspended before it, gives up every open
--- a/crates/bulrushlatch_dispatch/src/entry/submission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/submission.rs
@@ -43,6 +43,7 @@
     pub fn submit(&mut self, now: BootTime, submission: Submission) {
         self.detect_suspension(now);
         self.counters.arrived += 1;
+        self.delegation.record_job(now);
         let job = submission.request.id.clone();
         if let Some(state) = self.jobs.get_mut(&job) {
             tracing::info!(%job, "submitted again while open: attached");
@@ -66,6 +67,9 @@
     /// Handles a caller that no longer waits; stops its job if no other caller waits for it.
     pub fn caller_gone(&mut self, now: BootTime, caller: CallerId) {
         self.detect_suspension(now);
+        if self.delegated_caller_gone(caller) {
+            return;
+        }
         let Some(job) = self.callers.remove(&caller) else { return };
         let Some(state) = self.jobs.get_mut(&job) else { return };
         state.callers.retain(|&waiting| waiting != caller);
@@ -80,6 +84,9 @@
     /// Cancels a job; returns whether it was open at this entry.
     pub fn cancel(&mut self, now: BootTime, job: &JobId) -> bool {
         self.detect_suspension(now);
+        if self.cancel_delegated(job) {
+            return true;
+        }
         if !self.jobs.contains_key(job) {
             return false;
         }
@@ -91,7 +98,8 @@
 
     /// Returns [`Answer::Running`] for an open job, [`Answer::UnknownJob`] for any other.
     pub fn state(&self, job: &JobId) -> Answer {
-        if self.jobs.contains_key(job) { Answer::Running } else { Answer::UnknownJob }
+        let is_open = self.jobs.contains_key(job) || self.delegation.outgoing().contains(job);
+        if is_open { Answer::Running } else { Answer::UnknownJob }
     }
 
     /// Returns the number of a route's open jobs that have not run and have no placed task.
--- a/crates/bulrushlatch_node/src/entry/callers.rs
+++ b/crates/bulrushlatch_node/src/entry/callers.rs
@@ -25,7 +25,7 @@
 };
 
 /// Time after which callers may retry if the entry has no configuration or cannot decode a request.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Number of times that the runtime polls a connection until a disconnect is detected: one poll
 /// reads the end of the body, one the end of the connection.
@@ -67,9 +67,21 @@
         };
         let (method, headers, body) = (&request.method, &request.headers, &request.body[..]);
         let routed_request = RoutedHttpRequest { method, path_suffix: &path_suffix, headers, body };
+        let mut waited = false;
+        if process.settings.delegation.is_some()
+            && let Some(head) = process.caller_interface.decode_head(&routed_request)
+        {
+            drop_if_disconnected().await;
+            waited = true;
+            if let Some(answer) = process.delegate(host, &request.path, body, &head).await {
+                return CallerReply::Answer(answer);
+            }
+        }
         match process.caller_interface.decode(&routed_request) {
             Ok(CallerRequest::Submit { job_request, remaining_time }) => {
-                drop_if_disconnected().await;
+                if !waited {
+                    drop_if_disconnected().await;
+                }
                 CallerReply::Answer(process.submit(route, job_request, remaining_time).await)
             }
             Ok(CallerRequest::State(job)) => CallerReply::Answer(process.core.borrow().state(&job)),
@@ -130,7 +142,11 @@
 impl<C: CallerInterface, S: SiteStore> EntryProcess<C, S> {
     /// Returns the route that a path matches and the rest of the path. The outer option is `None`
     /// without a configuration, the inner one if no route matches.
-    fn find_route(&self, host: &str, path: &str) -> Option<Option<(Arc<Route>, String)>> {
+    pub(super) fn find_route(
+        &self,
+        host: &str,
+        path: &str,
+    ) -> Option<Option<(Arc<Route>, String)>> {
         let core = self.core.borrow();
         let route_match = core.table()?.find(host, path);
         Some(route_match.map(|(route, suffix)| (Arc::clone(route), suffix.to_owned())))
--- a/crates/bulrushlatch_node/src/entry/flags.rs
+++ b/crates/bulrushlatch_node/src/entry/flags.rs
@@ -36,6 +36,11 @@
         /// Rate of the VM's network link, in Mbit/s; reads of the store leave half of it to other
         /// traffic (default: not limited)
         optional --link-mbps rate: String
+        /// Whether another entry with spare CPU may carry out jobs of this entry's callers, and this
+        /// entry jobs of others: on or off (default off)
+        optional --delegation mode: String
+        /// Busy share of the process's thread above which it delegates jobs, in percent (default 70)
+        optional --delegation-busy-percent percent: String
         /// Time between SIGTERM and SIGKILL, in s (default 6)
         optional --grace-s seconds: String
         /// Format of log lines: text or json (default json)
@@ -62,6 +67,8 @@
     pub resend_after_ms: Option<String>,
     pub longest_lease_ms: Option<String>,
     pub link_mbps: Option<String>,
+    pub delegation: Option<String>,
+    pub delegation_busy_percent: Option<String>,
     pub grace_s: Option<String>,
     pub log_format: Option<String>,
     pub log_level: Option<String>,
--- a/crates/bulrushlatch_node/src/entry/links.rs
+++ b/crates/bulrushlatch_node/src/entry/links.rs
@@ -45,7 +45,7 @@
         if let Some(address) = peer.address {
             self.refresh_entry(address);
         }
-        self.serve_peer(peer.process, sender, receiver).await;
+        self.serve_peer(peer.process, sender, receiver, true).await;
     }
 }
 
@@ -65,7 +65,10 @@
         let Some(hello) = receiver.receive_hello(&sender, HELLO_TIMEOUT).await else { return };
         match (hello.role, hello.address) {
             (Role::Agent, _) => self.serve_agent(hello.process, sender, receiver).await,
-            (Role::Entry, Some(_)) => self.serve(hello, sender, receiver).await,
+            (Role::Entry, Some(address)) => {
+                self.refresh_entry(address);
+                self.serve_peer(hello.process, sender, receiver, false).await;
+            }
             (Role::Entry, None) => {}
         }
     }
@@ -128,13 +131,22 @@
         }
     }
 
-    async fn serve_peer(&self, peer: ProcessId, sender: LinkSender, mut receiver: LinkReceiver) {
+    /// Serves a link to another entry; `is_dialed` tells whether this process opened it.
+    async fn serve_peer(
+        &self,
+        peer: ProcessId,
+        sender: LinkSender,
+        mut receiver: LinkReceiver,
+        is_dialed: bool,
+    ) {
         let link = self.next_id();
+        let version = sender.version();
         tracing::info!(%peer, link, "link to entry opened");
         self.links.borrow_mut().insert(link, sender);
         self.peers.borrow_mut().insert(link, peer.clone());
         self.update_entry_count();
         self.send_first_frames(link);
+        self.open_delegation(link, &peer, version, is_dialed);
         let mut heartbeat = tokio::time::interval(PEER_HEARTBEAT);
         let mut received_at = self.clock.now();
         loop {
@@ -145,6 +157,7 @@
                         Some(Frame::Peer(frame)) => self.handle_peer_frame(link, frame),
                         Some(Frame::Entries(entries)) => self.add_entries(entries),
                         Some(Frame::Cordons(notice)) => self.handle_cordon_notice(notice),
+                        Some(Frame::Delegation(frame)) => self.handle_delegation_frame(link, frame),
                         Some(_) => {}
                         None => break,
                     }
@@ -154,11 +167,15 @@
                         break;
                     }
                     self.send(link, Frame::Peer(self.peer_frame()));
+                    if !is_dialed {
+                        self.advertise_delegation(link);
+                    }
                 }
             }
         }
         self.links.borrow_mut().remove(&link);
         self.peers.borrow_mut().remove(&link);
+        self.close_delegation(link);
         self.configuration_fetch.borrow_mut().handle_link_closed(link);
         self.served_peers.borrow_mut().remove(link);
         self.update_entry_count();
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -4,6 +4,7 @@
 //! - [`callers`]: requests from callers
 //! - [`links`]: links to agents and other entries
 //! - `configuration_exchange`: configurations that entries send each other
+//! - `delegation`: jobs that other entries carry out, and jobs carried out for them
 //! - `cordon_notices`: cordoned zones, from the store to all linked processes
 //! - [`encoded_configuration`]: the form in which they are sent
 //! - [`store_watch`]: configuration and addresses from the platform's store
@@ -11,6 +12,7 @@
 pub mod callers;
 mod configuration_exchange;
 mod cordon_notices;
+mod delegation;
 pub mod encoded_configuration;
 pub mod flags;
 pub mod links;
@@ -27,6 +29,7 @@
 use bulrushlatch_dispatch::{
     clock::{BootClock, BootTime},
     configuration_fetch::ConfigurationFetch,
+    delegation::DelegatedOutcome,
     entry::Entry,
     ids::{CallerId, LinkId, ProcessId},
     outcome::Answer,
@@ -71,6 +74,10 @@
     /// Links to other entries, with the process at the other end.
     peers: RefCell<BTreeMap<LinkId, ProcessId>>,
     pending_answers: RefCell<BTreeMap<CallerId, oneshot::Sender<Answer>>>,
+    /// Callers of delegated jobs.
+    pending_outcomes: RefCell<BTreeMap<CallerId, oneshot::Sender<DelegatedOutcome>>>,
+    /// Wakes [`EntryProcess::send_delegation_frames`].
+    delegation_ready: Notify,
     link_manager: LinkManager,
     /// Record of the configuration in force, as stored.
     configuration_record: RefCell<Option<KeyedRecord>>,
@@ -127,6 +134,9 @@
         tokio::task::spawn_local(Rc::clone(&process).watch_configuration());
         tokio::task::spawn_local(Rc::clone(&process).watch_entries());
         tokio::task::spawn_local(Rc::clone(&process).announce_entries());
+        if process.settings.delegation.is_some() {
+            tokio::task::spawn_local(Rc::clone(&process).send_delegation_frames());
+        }
         metrics::serve(&process, process.settings.common.metrics_listen).await;
         process.tick_until(&token).await;
         process.shut_down().await;
@@ -136,7 +146,10 @@
     fn new(settings: EntrySettings, caller_interface: C, store: S) -> Self {
         let common = &settings.common;
         let id = ProcessId { name: common.name.clone(), incarnation: fastrand::u64(1..) };
-        let core = Entry::new(common.timing, common.zone.clone(), fastrand::u64(..));
+        let mut core = Entry::new(common.timing, common.zone.clone(), fastrand::u64(..));
+        if let Some(delegation) = settings.delegation {
+            core.enable_delegation(delegation);
+        }
         Self {
             id,
             clock: SystemBootClock,
@@ -146,6 +159,8 @@
             links: RefCell::default(),
             peers: RefCell::default(),
             pending_answers: RefCell::default(),
+            pending_outcomes: RefCell::default(),
+            delegation_ready: Notify::new(),
             link_manager: LinkManager::new(&common.seeds, Some(settings.link_address)),
             configuration_record: RefCell::default(),
             encoded_configuration: RefCell::default(),
@@ -170,6 +185,9 @@
         let result = action(&mut core, now);
         let frames = core.frames(now);
         let answers = core.take_answers();
+        let outcomes = core.take_delegated_outcomes();
+        let broken_links = core.take_broken_links();
+        let has_delegation_frames = core.has_delegation_frames();
         drop(core);
         for (link, frame) in frames {
             self.send(link, Frame::Entry(frame));
@@ -180,6 +198,7 @@
                 let _ = sender.send(answer);
             }
         }
+        self.finish_delegation(outcomes, broken_links, has_delegation_frames);
         result
     }
 
@@ -267,6 +286,8 @@
         let mut registry = Registry::with_prefix("bulrushlatch_entry");
         let core = self.core.borrow();
         let counters = core.counters();
+        let delegation = core.delegation_counters();
+        let delegated_percent = (core.delegated_share() * 100.0) as u64;
         metrics::add_counters(
             &mut registry,
             &[
@@ -282,6 +303,25 @@
                 ("lost_runs", "Runs that ended without a result", counters.lost_runs),
                 ("stuck_runs", "Runs stopped for standing still", counters.stuck_runs),
                 ("suspensions", "Times this process was suspended", counters.suspensions),
+                ("delegated_jobs", "Jobs sent to other entries", delegation.delegated),
+                ("delegated_not_taken", "Of these, jobs not taken there", delegation.not_taken),
+                (
+                    "delegated_interrupted",
+                    "Of these, jobs interrupted by a silent entry or lost link",
+                    delegation.interrupted,
+                ),
+                ("accepted_delegated", "Jobs accepted from other entries", delegation.accepted),
+                ("refused_delegated", "Jobs of other entries not taken", delegation.refused),
+                (
+                    "abandoned_delegated",
+                    "Accepted jobs given up because of a silent entry or lost link",
+                    delegation.abandoned,
+                ),
+                (
+                    "invalid_delegation_frames",
+                    "Invalid frames of other entries",
+                    delegation.invalid,
+                ),
                 (
                     "store_faults",
                     "Calls to the store without result",
@@ -294,6 +334,12 @@
             &mut registry,
             &[
                 ("busy_percent", "Busy share of the process's thread", busy_percent),
+                ("delegated_percent", "Share of the arriving jobs to delegate", delegated_percent),
+                (
+                    "spare_jobs_per_s",
+                    "Jobs per second that could be taken",
+                    core.spare_jobs_per_s(),
+                ),
                 ("open_jobs", "Jobs being worked on", core.open_jobs() as u64),
                 ("waiting_tasks", "Tasks that wait for room", core.waiting_tasks() as u64),
                 ("version", "Configuration in force", core.version().unwrap_or_default()),
--- a/crates/bulrushlatch_node/src/interface.rs
+++ b/crates/bulrushlatch_node/src/interface.rs
@@ -53,6 +53,15 @@
     UnstartedJobs,
 }
 
+/// What a submission says outside its body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SubmissionHead {
+    /// Id of the job.
+    pub job: JobId,
+    /// Time for which the caller waits for the answer, if the request states it.
+    pub remaining_time: Option<Duration>,
+}
+
 /// A reply to a caller, before it is encoded.
 #[derive(Clone, Copy, Debug)]
 pub enum CallerReply {
@@ -71,6 +80,10 @@
     /// Returns what is wrong with a malformed request.
     fn decode(&self, request: &RoutedHttpRequest<'_>) -> Result<CallerRequest, String>;
 
+    /// Decodes the method, path and headers of a submission; returns `None` for another request or a
+    /// malformed one.
+    fn decode_head(&self, request: &RoutedHttpRequest<'_>) -> Option<SubmissionHead>;
+
     /// Encodes a reply.
     fn encode(&self, reply: &CallerReply) -> BodyResponse;
 
--- a/crates/bulrushlatch_node/src/settings.rs
+++ b/crates/bulrushlatch_node/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use bulrushlatch_dispatch::timing::Timing;
+use bulrushlatch_dispatch::{entry::delegation::DelegationSettings, timing::Timing};
 use bulrushlatch_runtime::{
     logging::LogFormat,
     settings_reader::{SettingsError, SettingsReader},
@@ -60,6 +60,8 @@
     pub link_address: SocketAddr,
     /// Rate at which the store's responses are read; `None` if not limited.
     pub store_read_rate: Option<ReadRate>,
+    /// Settings of delegation; `None` to neither delegate jobs nor take those of other entries.
+    pub delegation: Option<DelegationSettings>,
 }
 
 /// Settings of an agent.
@@ -154,6 +156,21 @@
     (is_valid && link_mbps > 0.0).then_some(ReadRate { bytes_per_s })
 }
 
+fn read_delegation(
+    reader: &mut SettingsReader,
+    delegation: Option<String>,
+    busy_percent: Option<String>,
+) -> Option<DelegationSettings> {
+    let default = DelegationSettings::default();
+    let mode: String = reader.optional("delegation", delegation, "off".to_owned());
+    reader.check(matches!(&*mode, "on" | "off"), "--delegation must be on or off");
+    let default_percent = default.busy_threshold * 100.0;
+    let percent: f64 = reader.optional("delegation-busy-percent", busy_percent, default_percent);
+    let is_valid = (0.0..=100.0).contains(&percent);
+    reader.check(is_valid, "--delegation-busy-percent must be a number from 0 to 100");
+    (mode == "on").then_some(DelegationSettings { busy_threshold: percent / 100.0 })
+}
+
 impl EntrySettings {
     /// Reads flags and environment variables.
     ///
@@ -167,6 +184,8 @@
         let link_listen = read_address(&mut reader, "link-listen", flags.link_listen);
         let link_address = reader.optional("link-address", flags.link_address, link_listen);
         let store_read_rate = read_store_rate(&mut reader, flags.link_mbps);
+        let delegation =
+            read_delegation(&mut reader, flags.delegation, flags.delegation_busy_percent);
         let common = read_common(&mut reader, common_flags!(flags));
         reader.finish(Self {
             common,
@@ -175,6 +194,7 @@
             link_listen,
             link_address,
             store_read_rate,
+            delegation,
         })
     }
 }
