--- a/crates/bulrushlatch_node/src/entry/callers.rs
+++ b/crates/bulrushlatch_node/src/entry/callers.rs
@@ -21,11 +21,12 @@
     http_server::{DEFAULT_MAX_BODY_BYTES, ServerHandler, ServerRequest, text_response},
     interface::{
         BodyResponse, CallerInterface, CallerReply, CallerRequest, RoutedHttpRequest, SiteStore,
+        SubmissionHead,
     },
 };
 
 /// Time after which callers may retry if the entry has no configuration or cannot decode a request.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Number of times that the runtime polls a connection until a disconnect is detected: one poll
 /// reads the end of the body, one the end of the connection.
@@ -67,12 +68,14 @@
         };
         let (method, headers, body) = (&request.method, &request.headers, &request.body[..]);
         let routed_request = RoutedHttpRequest { method, path_suffix: &path_suffix, headers, body };
-        if let Some(reply) = self.reply_when_overloaded(&route, &routed_request) {
-            return reply;
+        if let Some(head) = process.caller_interface.decode_head(&routed_request) {
+            drop_if_disconnected().await;
+            if let Some(answer) = self.answer_undecoded(&route, host, request, &head).await {
+                return CallerReply::Answer(answer);
+            }
         }
         match process.caller_interface.decode(&routed_request) {
             Ok(CallerRequest::Submit { job_request, remaining_time }) => {
-                drop_if_disconnected().await;
                 CallerReply::Answer(process.submit(route, job_request, remaining_time).await)
             }
             Ok(CallerRequest::State(job)) => CallerReply::Answer(process.core.borrow().state(&job)),
@@ -92,19 +95,25 @@
 }
 
 impl<C: CallerInterface, S: SiteStore> CallerHandler<C, S> {
-    /// Returns the reply to a submission that this process lacks the processor time for; `None` if
-    /// it is to be handled here.
-    ///
-    /// All that can be done with such a job is decided here, before its body is decoded.
-    fn reply_when_overloaded(
+    /// Returns the answer to a submission whose body need not be decoded here: another entry carries
+    /// the job out, or this process lacks the processor time for it. `None` if it is to be handled
+    /// here.
+    async fn answer_undecoded(
         &self,
         route: &Route,
-        request: &RoutedHttpRequest<'_>,
-    ) -> Option<CallerReply> {
-        let job = self.process.caller_interface.submitted_job(request)?;
-        let retry_after = self.process.core.borrow_mut().refuse_for_overload(route, job)?;
-        let reason = Refusal::Overloaded;
-        Some(CallerReply::Answer(Answer::Refused { reason, retry_after }))
+        host: &str,
+        request: &ServerRequest,
+        head: &SubmissionHead,
+    ) -> Option<Answer> {
+        let process = &self.process;
+        if process.settings.delegation.is_some() {
+            let answer = process.delegate(host, &request.path, &request.body, head).await;
+            if answer.is_some() {
+                return answer;
+            }
+        }
+        let retry_after = process.core.borrow_mut().refuse_for_overload(route, &head.job)?;
+        Some(Answer::Refused { reason: Refusal::Overloaded, retry_after })
     }
 }
 
@@ -150,7 +159,11 @@
 impl<C: CallerInterface, S: SiteStore> EntryProcess<C, S> {
     /// Returns the route that a path matches and the rest of the path. The outer option is `None`
     /// without a configuration, the inner one if no route matches.
-    fn find_route(&self, host: &str, path: &str) -> Option<Option<(Arc<Route>, String)>> {
+    pub(super) fn find_route(
+        &self,
+        host: &str,
+        path: &str,
+    ) -> Option<Option<(Arc<Route>, String)>> {
         let core = self.core.borrow();
         let route_match = core.table()?.find(host, path);
         Some(route_match.map(|(route, suffix)| (Arc::clone(route), suffix.to_owned())))
--- a/crates/bulrushlatch_node/src/entry/flags.rs
+++ b/crates/bulrushlatch_node/src/entry/flags.rs
@@ -38,6 +38,11 @@
         optional --link-mbps rate: String
         /// Refusal of a part of the jobs while the processor is too busy: on or off (default on)
         optional --overload-control switch: String
+        /// Whether another entry with spare CPU may carry out jobs of this entry's callers, and this
+        /// entry jobs of others: on or off (default off)
+        optional --delegation mode: String
+        /// Busy share of the process's thread above which it delegates jobs, in percent (default 70)
+        optional --delegation-busy-percent percent: String
         /// Time between SIGTERM and SIGKILL, in s (default 6)
         optional --grace-s seconds: String
         /// Format of log lines: text or json (default json)
@@ -65,6 +70,8 @@
     pub longest_lease_ms: Option<String>,
     pub link_mbps: Option<String>,
     pub overload_control: Option<String>,
+    pub delegation: Option<String>,
+    pub delegation_busy_percent: Option<String>,
     pub grace_s: Option<String>,
     pub log_format: Option<String>,
     pub log_level: Option<String>,
--- a/crates/bulrushlatch_node/src/interface.rs
+++ b/crates/bulrushlatch_node/src/interface.rs
@@ -53,6 +53,15 @@
     UnstartedJobs,
 }
 
+/// What a submission says outside its body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SubmissionHead {
+    /// Id of the job.
+    pub job: JobId,
+    /// Time for which the caller waits for the answer, if the request states it.
+    pub remaining_time: Option<Duration>,
+}
+
 /// A reply to a caller, before it is encoded.
 #[derive(Clone, Copy, Debug)]
 pub enum CallerReply {
@@ -71,9 +80,9 @@
     /// Returns what is wrong with a malformed request.
     fn decode(&self, request: &RoutedHttpRequest<'_>) -> Result<CallerRequest, String>;
 
-    /// Returns the id of the job that a request submits, without decoding the body; `None` for other
-    /// requests.
-    fn submitted_job<'a>(&self, request: &RoutedHttpRequest<'a>) -> Option<&'a str>;
+    /// Decodes the method, path and headers of a submission; returns `None` for another request or a
+    /// malformed one.
+    fn decode_head(&self, request: &RoutedHttpRequest<'_>) -> Option<SubmissionHead>;
 
     /// Encodes a reply.
     fn encode(&self, reply: &CallerReply) -> BodyResponse;
