Share of released capacity by the demand that entries exchange with agents

Cause: an entry assumed that it gets what its own runs release, or an even part of what all runs release. With waves of load at another phase in each availability zone, entries at their peak refused and delayed more of their jobs than entries at their trough.

Change: an entry states its demand by priority number to each agent in use; the agent keeps statements for 1 s and returns the sum of the others'. The entry's share follows from both, more urgent classes first and in proportion to demand within a class. Expired summaries fade out within 1 s. Off unless set_demand_exchange is called; without summaries the rule is the former one.

--- a/crates/bulrushlatch_dispatch/src/agent/frames.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/frames.rs
@@ -36,6 +36,7 @@
             let orders_seen = session.orders_seen;
             frames.push((link, AgentFrame { stamp_ms, orders_seen, profile, offer, reports }));
         }
+        self.summarize_demand(now, &frames);
         frames
     }
 
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -3,12 +3,14 @@
 //! - `incarnation`: tells the present incarnation of the target from others
 //! - `orders`: handles orders from entries
 //! - `frames`: frames to entries
+//! - [`demand`]: demand that entries state, and its sum
 //! - `lifecycle`: starts, stops and ends the runs at the target
 //! - [`run`]: one run of a task
 //! - [`session`]: the state kept for each entry
 //! - [`target`]: what is known of the target
 //! - [`health`]: ejection of a target at which jobs fail
 
+pub mod demand;
 mod frames;
 pub mod health;
 mod incarnation;
@@ -26,6 +28,7 @@
 use crate::{
     clock::BootTime,
     cordon::Cordons,
+    demand::DemandSummary,
     frame::FrameVersion,
     ids::{Attempt, LinkId, ProcessId, ReportNumber, TaskKey},
     size::Size,
@@ -35,6 +38,7 @@
 pub use self::lifecycle::StartRequest;
 
 use self::{
+    demand::DemandTable,
     health::{Health, HealthState},
     run::Run,
     session::Session,
@@ -85,6 +89,12 @@
     pub unknown_runs: u64,
     /// Times that the lease was not renewed because an overdue stop was not confirmed.
     pub withheld_renewals: u64,
+    /// Valid statements of demand received from entries.
+    pub demand_statements: u64,
+    /// Summaries of demand sent to entries.
+    pub demand_summaries: u64,
+    /// Invalid statements of demand, which were dropped.
+    pub invalid_demand: u64,
 }
 
 /// State and decisions of an agent; its process does the input and output.
@@ -105,6 +115,11 @@
     cordons: Cordons,
     is_shutting_down: bool,
     counters: AgentCounters,
+    /// Whether demand is exchanged with entries.
+    is_demand_exchanged: bool,
+    demand: DemandTable,
+    /// Summaries that go with the frames which were returned last.
+    demand_summaries: Vec<(LinkId, DemandSummary)>,
     /// Orders to the target that the process has not taken yet.
     target_orders: Vec<TargetOrder>,
 }
@@ -124,6 +139,9 @@
             cordons: Cordons::default(),
             is_shutting_down: false,
             counters: AgentCounters::default(),
+            is_demand_exchanged: false,
+            demand: DemandTable::default(),
+            demand_summaries: Vec::new(),
             target_orders: Vec::new(),
         }
     }
@@ -196,6 +214,7 @@
         version: FrameVersion,
     ) {
         let last_report = self.last_removed_report;
+        self.demand.resend_summary(&entry);
         let session = self.sessions.entry(entry);
         let session = session.or_insert_with(|| Session::new(link, now, last_report));
         session.link = Some(link);
@@ -238,6 +257,7 @@
         self.finish_runs_of_silent_target(now);
         self.settle_runs_of_restarted_target(now);
         self.remove_entries(now);
+        self.demand.expire(now);
     }
 
     /// Removes entries that have no link and of which no run can be left.
--- a/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -16,6 +16,8 @@
     timing::Timing,
 };
 
+use super::demand::AgentDemand;
+
 /// Share of the contact limit without a frame after which nothing new is placed at an agent.
 const FRESH_SHARE: f64 = 0.5;
 
@@ -74,6 +76,8 @@
     pub runs: BTreeMap<TaskKey, OrderedRun>,
     /// Moving average of the ratio of actual to expected run times; 1 is average.
     pub slowness: f64,
+    /// Demand exchanged with the agent.
+    pub demand: AgentDemand,
 }
 
 impl AgentView {
@@ -98,6 +102,7 @@
             sent_at: BootTime::ZERO,
             runs: BTreeMap::new(),
             slowness: 1.0,
+            demand: AgentDemand::default(),
         }
     }
 
@@ -108,6 +113,12 @@
         self.version = version;
         self.is_synced = false;
         self.sent_at = BootTime::ZERO;
+        self.demand.reset_link();
+    }
+
+    /// Returns the version of the frames on the link.
+    pub fn version(&self) -> FrameVersion {
+        self.version
     }
 
     /// Returns the number of the newest order.
--- a/crates/bulrushlatch_dispatch/src/entry/counters.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/counters.rs
@@ -27,4 +27,10 @@
     pub stuck_runs: u64,
     /// Times that this process was found to have been suspended.
     pub suspensions: u64,
+    /// Statements of demand sent to agents.
+    pub demand_statements: u64,
+    /// Summaries of demand received from agents.
+    pub demand_summaries: u64,
+    /// Invalid summaries, which were dropped.
+    pub invalid_demand: u64,
 }
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -14,6 +14,7 @@
 //! - [`job_state`]: state of an open job and its tasks
 //! - [`job_times`]: times that bound a job, as seen when it arrives
 //! - [`counters`]: counters for the metrics
+//! - [`demand`]: demand exchanged with agents, and the share of released CPU that follows
 //! - [`run_times`], [`rates`]: learned run times, and rates of demanded CPU
 //! - [`offered_load`]: the load that callers offer
 //! - [`answer_cache`]: final answers for callers that submit a finished job again
@@ -24,6 +25,7 @@
 pub mod answer_cache;
 mod completion;
 pub mod counters;
+pub mod demand;
 mod dispatch;
 pub mod job_state;
 pub mod job_times;
@@ -55,8 +57,9 @@
 pub use self::{counters::EntryCounters, submission::Submission};
 
 use self::{
-    agent_view::AgentView, answer_cache::AnswerCache, job_state::JobState, late_limit::LateLimit,
-    offered_load::OfferedLoad, rates::RouteDemands, run_times::RunTimes, waiting::WaitingTask,
+    agent_view::AgentView, answer_cache::AnswerCache, demand::DemandExchange, job_state::JobState,
+    late_limit::LateLimit, offered_load::OfferedLoad, rates::RouteDemands, run_times::RunTimes,
+    waiting::WaitingTask,
 };
 
 /// Average lag of the tick timer above which no new jobs are accepted: heartbeats are due every
@@ -98,6 +101,8 @@
     demands: RouteDemands,
     /// Load of the jobs of each service, accepted or not.
     offered_loads: BTreeMap<ServiceName, OfferedLoad>,
+    /// Demand exchanged with agents.
+    demand: DemandExchange,
     /// Number of entries that share the targets, this one included.
     entry_count: u32,
     is_shutting_down: bool,
@@ -137,6 +142,7 @@
             run_times: RunTimes::default(),
             demands: RouteDemands::default(),
             offered_loads: BTreeMap::new(),
+            demand: DemandExchange::default(),
             entry_count: 1,
             is_shutting_down: false,
             lag: Duration::ZERO,
@@ -243,12 +249,20 @@
         if now.saturating_sub(self.heartbeats_checked_at) >= HEARTBEAT_CHECK_INTERVAL {
             self.heartbeats_checked_at = now;
             self.agents_with_orders.clear();
-            return self.agents.values_mut().filter_map(|view| view.frame(now, &timing)).collect();
+            let frames = self.agents.values_mut().filter_map(|view| {
+                let frame = view.frame(now, &timing)?;
+                self.demand.state_to(now, view);
+                Some(frame)
+            });
+            return frames.collect();
         }
         let mut frames = Vec::new();
         for agent in self.agents_with_orders.drain(..) {
-            let view = self.agents.get_mut(&agent);
-            frames.extend(view.and_then(|view| view.frame(now, &timing)));
+            let Some(view) = self.agents.get_mut(&agent) else { continue };
+            if let Some(frame) = view.frame(now, &timing) {
+                self.demand.state_to(now, view);
+                frames.push(frame);
+            }
         }
         frames
     }
@@ -306,6 +320,7 @@
         if now.saturating_sub(self.subset_chosen_at) >= SUBSET_INTERVAL {
             self.update_agents_in_use(now);
         }
+        self.update_demand(now);
         self.stop_stuck_runs(now);
         self.record_spare_capacity(now);
         self.end_hopeless_jobs(now);
--- a/crates/bulrushlatch_dispatch/src/entry/submission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/submission.rs
@@ -131,6 +131,7 @@
         self.demands.record(now, &route.name, demand.cpu_millis);
         let load = self.offered_loads.entry(route.service.clone()).or_default();
         load.record(now, demand.cpu_millis, critical_path);
+        self.demand.record_job(now, &route, demand.cpu_millis, critical_path);
         let has_targets =
             request.steps.iter().all(|step| self.has_fitting_target(now, &route, step));
         if !has_targets && !self.is_discovering(now, &route) {
--- a/crates/bulrushlatch_dispatch/src/entry/supply.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/supply.rs
@@ -13,6 +13,7 @@
     Entry,
     admission::{self, Supply},
     agent_view::AgentView,
+    demand::DemandShare,
     waiting::WaitClass,
 };
 
@@ -62,7 +63,7 @@
             total_cpu_millis += agent.profile.total.cpu_millis;
         }
         let busy_cpu_millis = total_cpu_millis - free_cpu_millis.min(total_cpu_millis);
-        let released = self.released_cpu_millis_per_s(busy_cpu_millis, run_time);
+        let released = self.released_cpu_millis_per_s(&route.service, busy_cpu_millis, run_time);
         let reserve = admission::reserve_cpu_millis(total_cpu_millis, self.is_most_urgent(route));
         let queue = self.queue_lengths(route);
         let max_late_cpu_millis = if self.had_spare_capacity(now, &route.service, max_late_wait) {
@@ -107,12 +108,19 @@
     }
 
     /// Returns the rate, in thousandths of a core per second, at which running tasks release CPU for
-    /// this entry: that of its own tasks, since entries with much load hold much of the capacity, but
-    /// at least an even part of that of all tasks, which occupy `busy_cpu_millis`.
+    /// this entry: its share of that of all tasks, which occupy `busy_cpu_millis`. The share follows
+    /// from the demand that entries state to agents. As far as that is not known, it is the rate of
+    /// this entry's own tasks, since entries with much load hold much of the capacity, but at least an
+    /// even part.
     ///
     /// What other entries run is assumed to be like what this entry runs, or to take `run_time`
     /// while it runs nothing.
-    fn released_cpu_millis_per_s(&self, busy_cpu_millis: u64, run_time: Duration) -> f64 {
+    fn released_cpu_millis_per_s(
+        &self,
+        service: &str,
+        busy_cpu_millis: u64,
+        run_time: Duration,
+    ) -> f64 {
         let mut own_cpu_millis = 0;
         let mut own_released = 0.0;
         for run in self.agents.values().flat_map(|agent| agent.runs.values()) {
@@ -125,7 +133,12 @@
         } else {
             busy * own_released / own_cpu_millis as f64
         };
-        own_released.max(all_released / self.entries_per_agent())
+        let even_part = all_released / self.entries_per_agent();
+        let without_demand = own_released.max(even_part);
+        let Some(DemandShare { share, weight }) = self.demand.share(service) else {
+            return without_demand;
+        };
+        all_released * share * weight + without_demand * (1.0 - weight)
     }
 
     /// Returns whether an open job that will miss its objective may wait in the late class.
--- a/crates/bulrushlatch_dispatch/tests/agent/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/main.rs
@@ -1,6 +1,7 @@
 //! Tests of single decisions of an agent.
 
 mod cordon;
+mod demand;
 mod fixture;
 mod heartbeats;
 mod restarted_target;
--- a/crates/bulrushlatch_dispatch/tests/load/fleet.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/fleet.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use bulrushlatch_dispatch::{
+    agent::demand::DemandTable,
     clock::BootTime,
     entry::{Entry, Submission},
     frame::{Action, AgentFrame, EntryFrame, NEWEST_FRAME_VERSION, Offer, Profile, Report},
@@ -21,6 +22,8 @@
 const UPDATE_INTERVAL: Duration = Duration::from_millis(8);
 /// Interval between frames to any other entry.
 const IDLE_INTERVAL: Duration = Duration::from_millis(400);
+/// Share of the free capacity above which a refusal counts as one with spare capacity.
+const SPARE_SHARE: f64 = 0.1;
 /// Number of availability zones, over which entries and targets are spread evenly.
 const ZONES: usize = 3;
 /// CPU that a task occupies, in thousandths of a core, by job in turn: a target runs about four.
@@ -53,6 +56,8 @@
     free_cpu_millis: u64,
     /// Whether the target has been taken away.
     is_gone: bool,
+    /// Demand that entries state.
+    demand: DemandTable,
 }
 
 impl FleetTarget {
@@ -148,16 +153,38 @@
     format!("zone-{}", number % ZONES)
 }
 
+fn entry_name(number: usize) -> String {
+    format!("entry-{number:03}")
+}
+
 fn agent_name(number: usize) -> String {
     format!("agent-{number:03}")
 }
 
+/// Waves of load, at another phase in each availability zone, so that the whole load is steady.
+#[derive(Clone, Copy)]
+pub struct Wave {
+    /// Largest deviation from the mean, as a share of it.
+    pub amplitude: f64,
+    pub period: Duration,
+}
+
+impl Wave {
+    /// Returns the load of an entry, in multiples of its mean.
+    fn factor(&self, now: BootTime, entry: usize) -> f64 {
+        let cycles = now.as_secs_f64() / self.period.as_secs_f64();
+        let phase = (entry % ZONES) as f64 / ZONES as f64;
+        1.0 + self.amplitude * (std::f64::consts::TAU * (cycles + phase)).sin()
+    }
+}
+
 /// Entries with shares of the load, and the targets that they share.
 pub struct Fleet {
     entries: Vec<Entry>,
     targets: Vec<FleetTarget>,
     /// Share of the load that each entry receives.
     loads: Vec<f64>,
+    pub wave: Option<Wave>,
     kinds: Vec<JobKind>,
     now: BootTime,
     /// Jobs to submit, with fractions, by entry and kind.
@@ -170,6 +197,8 @@
     pub tallies: Vec<Tally>,
     /// Results by kind of job.
     kind_tallies: Vec<Tally>,
+    /// Jobs refused while at least [`SPARE_SHARE`] of the capacity of all targets was free.
+    pub refused_with_spare: u64,
 }
 
 impl Fleet {
@@ -196,11 +225,13 @@
             running: Vec::new(),
             free_cpu_millis: TARGET_CPU_MILLIS,
             is_gone: false,
+            demand: DemandTable::default(),
         };
         Self {
             entries: entries.collect(),
             targets: (0..targets).map(|_| target()).collect(),
             loads: weights.iter().map(|weight| weight / total).collect(),
+            wave: None,
             kinds: kinds.to_vec(),
             now: BOOT,
             due_jobs: vec![vec![0.0; kinds.len()]; weights.len()],
@@ -209,9 +240,15 @@
             tasks: 0,
             tallies: vec![Tally::default(); weights.len()],
             kind_tallies: vec![Tally::default(); kinds.len()],
+            refused_with_spare: 0,
         }
     }
 
+    /// Has all entries and targets exchange demand.
+    pub fn exchange_demand(&mut self) {
+        self.entries.iter_mut().for_each(|entry| entry.set_demand_exchange(true));
+    }
+
     /// Advances the clock by `length` while jobs demand `utilization` of the capacity of all
     /// targets.
     pub fn run(&mut self, length: Duration, utilization: f64) {
@@ -256,7 +293,8 @@
     fn submit_due_jobs(&mut self, entry: usize, factor: f64) {
         for kind in 0..self.kinds.len() {
             let per_step = self.kinds[kind].per_s * factor * STEP.as_secs_f64();
-            self.due_jobs[entry][kind] += per_step * self.loads[entry];
+            let wave = self.wave.map_or(1.0, |wave| wave.factor(self.now, entry));
+            self.due_jobs[entry][kind] += per_step * self.loads[entry] * wave;
             while self.due_jobs[entry][kind] >= 1.0 {
                 self.due_jobs[entry][kind] -= 1.0;
                 self.submit(entry, kind);
@@ -287,8 +325,14 @@
             target.end_due_runs(self.now);
             let agent = process(&agent_name(number));
             for (index, entry) in self.entries.iter_mut().enumerate() {
-                if let Some(frame) = target.frame(self.now, index, number) {
-                    entry.receive(self.now, &agent, number as u64 + 1, frame);
+                let Some(frame) = target.frame(self.now, index, number) else { continue };
+                let link = number as u64 + 1;
+                entry.receive(self.now, &agent, link, frame);
+                target.demand.expire(self.now);
+                let receiver = process(&entry_name(index));
+                let summary = target.demand.due_summary(self.now, &receiver, TARGET_CPU_MILLIS);
+                if let Some(summary) = summary {
+                    entry.receive_demand_summary(self.now, &agent, link, summary);
                 }
             }
         }
@@ -307,12 +351,21 @@
             let target = &mut self.targets[link as usize - 1];
             target.handle_frame(self.now, entry, frame, &mut run_time);
         }
+        for (link, statement) in self.entries[entry].take_demand_statements() {
+            let target = &mut self.targets[link as usize - 1];
+            target.demand.record(self.now, &process(&entry_name(entry)), statement);
+        }
+        let free: u64 = self.targets.iter().map(|target| target.free_cpu_millis).sum();
+        let total = self.targets.len() as u64 * TARGET_CPU_MILLIS;
+        let has_spare = free as f64 >= total as f64 * SPARE_SHARE;
         for (caller, answer) in self.entries[entry].take_answers() {
             let Some((_, kind_index, since)) = self.open.remove(&caller) else { continue };
             let kind = &self.kinds[kind_index];
             let longest_run = ms(kind.run_ms).mul_f64(1.5);
             let objective = route_of(kind).objective(longest_run);
             let took = self.now - since;
+            let is_refused = matches!(answer, Answer::Refused { .. });
+            self.refused_with_spare += u64::from(is_refused && has_spare);
             for tally in [&mut self.tallies[entry], &mut self.kind_tallies[kind_index]] {
                 match answer {
                     Answer::Completed if took <= objective => tally.in_time += 1,
--- a/crates/bulrushlatch_dispatch/tests/load/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/main.rs
@@ -3,6 +3,7 @@
 //!
 //! One entry and simulated targets on a virtual clock, without a network.
 
+mod demand_exchange;
 mod fleet;
 mod overload;
 mod restart;
