Entries and agents exchange demand on their links

Cause: the decisions on demand exist, but nothing was sent.

Metrics: statements, summaries, invalid ones dropped, entries known, expected share and even share in thousandths.

--- a/crates/bulrushlatch_node/src/agent/flags.rs
+++ b/crates/bulrushlatch_node/src/agent/flags.rs
@@ -29,6 +29,8 @@
         optional --resend-after-ms ms: String
         /// Longest lease that targets grant, in ms (default 1000)
         optional --longest-lease-ms ms: String
+        /// Exchange of demand between entries and agents: on or off (default off)
+        optional --demand-exchange switch: String
         /// Time between SIGTERM and SIGKILL, in s (default 6)
         optional --grace-s seconds: String
         /// Format of log lines: text or json (default json)
@@ -52,6 +54,7 @@
     pub metrics_listen: Option<String>,
     pub resend_after_ms: Option<String>,
     pub longest_lease_ms: Option<String>,
+    pub demand_exchange: Option<String>,
     pub grace_s: Option<String>,
     pub log_format: Option<String>,
     pub log_level: Option<String>,
--- a/crates/bulrushlatch_node/src/agent/mod.rs
+++ b/crates/bulrushlatch_node/src/agent/mod.rs
@@ -95,13 +95,15 @@
             .await
             .change_context(StartError::BindHttpAddress(settings.announcement_listen))?;
         let common = &settings.common;
+        let mut core = Agent::new(common.timing);
+        core.set_demand_exchange(common.demand_exchange);
         let process = Rc::new(Self {
             id: ProcessId { name: common.name.clone(), incarnation: fastrand::u64(1..) },
             clock: SystemBootClock,
             target,
             announcement_interface,
             store,
-            core: RefCell::new(Agent::new(common.timing)),
+            core: RefCell::new(core),
             links: RefCell::default(),
             link_manager: LinkManager::new(&common.seeds, None),
             last_link: Cell::new(0),
@@ -168,18 +170,28 @@
     fn send_frames(&self) {
         let now = self.clock.now();
         let frames = self.core.borrow_mut().frames(now, MIN_FRAME_INTERVAL);
+        let summaries = self.core.borrow_mut().take_demand_summaries();
         for (link, frame) in frames {
-            let mut links = self.links.borrow_mut();
-            let is_sent = links.get(&link).is_some_and(|sender| sender.send(Frame::Agent(frame)));
-            if !is_sent {
-                links.remove(&link);
-            }
+            self.send(link, Frame::Agent(frame));
+        }
+        // These are written with the same flush as the frames before them.
+        for (link, summary) in summaries {
+            self.send(link, Frame::DemandSummary(summary));
         }
         if self.core.borrow().has_pending_update() {
             self.update_pending.notify_one();
         }
     }
 
+    /// Sends a frame; closes the link if it does not accept it.
+    fn send(&self, link: LinkId, frame: Frame) {
+        let mut links = self.links.borrow_mut();
+        let is_sent = links.get(&link).is_some_and(|sender| sender.send(frame));
+        if !is_sent {
+            links.remove(&link);
+        }
+    }
+
     /// Sends pending updates after a short delay, so that updates close together share a frame.
     async fn send_pending_updates(self: Rc<Self>) {
         loop {
@@ -265,6 +277,9 @@
                     counters.unknown_runs,
                 ),
                 ("withheld_renewals", "Looks without renewal", counters.withheld_renewals),
+                ("demand_statements", "Statements of demand taken", counters.demand_statements),
+                ("demand_summaries", "Summaries of demand sent", counters.demand_summaries),
+                ("invalid_demand", "Invalid statements of demand dropped", counters.invalid_demand),
             ],
         );
         metrics::add_gauges(
@@ -276,6 +291,7 @@
                     "Zones that receive no new tasks",
                     core.cordons().zones.len() as u64,
                 ),
+                ("demand_entries", "Entries whose demand is known", core.demand_entries() as u64),
             ],
         );
         registry
--- a/crates/bulrushlatch_node/src/entry/links.rs
+++ b/crates/bulrushlatch_node/src/entry/links.rs
@@ -81,8 +81,14 @@
             if !self.links.borrow().contains_key(&link) {
                 break;
             }
-            if let Frame::Agent(frame) = frame {
-                self.with_core(|core, now| core.receive(now, &agent, link, frame));
+            match frame {
+                Frame::Agent(frame) => {
+                    self.with_core(|core, now| core.receive(now, &agent, link, frame));
+                }
+                Frame::DemandSummary(summary) => self.with_core(|core, now| {
+                    core.receive_demand_summary(now, &agent, link, summary);
+                }),
+                _ => {}
             }
         }
         self.links.borrow_mut().remove(&link);
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -136,7 +136,8 @@
     fn new(settings: EntrySettings, caller_interface: C, store: S) -> Self {
         let common = &settings.common;
         let id = ProcessId { name: common.name.clone(), incarnation: fastrand::u64(1..) };
-        let core = Entry::new(common.timing, common.zone.clone(), fastrand::u64(..));
+        let mut core = Entry::new(common.timing, common.zone.clone(), fastrand::u64(..));
+        core.set_demand_exchange(common.demand_exchange);
         Self {
             id,
             clock: SystemBootClock,
@@ -169,11 +170,16 @@
         let mut core = self.core.borrow_mut();
         let result = action(&mut core, now);
         let frames = core.frames(now);
+        let statements = core.take_demand_statements();
         let answers = core.take_answers();
         drop(core);
         for (link, frame) in frames {
             self.send(link, Frame::Entry(frame));
         }
+        // These are written with the same flush as the frames before them.
+        for (link, statement) in statements {
+            self.send(link, Frame::Demand(statement));
+        }
         for (caller, answer) in answers {
             if let Some(sender) = self.pending_answers.borrow_mut().remove(&caller) {
                 // Fails only if the caller has just disconnected and does not need the answer.
@@ -257,6 +263,8 @@
         let mut registry = Registry::with_prefix("bulrushlatch_entry");
         let core = self.core.borrow();
         let counters = core.counters();
+        let demand = core.demand_status(self.clock.now());
+        let permille = |share: f64| (share * 1_000.0).round() as u64;
         metrics::add_counters(
             &mut registry,
             &[
@@ -272,6 +280,9 @@
                 ("lost_runs", "Runs that ended without a result", counters.lost_runs),
                 ("stuck_runs", "Runs stopped for standing still", counters.stuck_runs),
                 ("suspensions", "Times this process was suspended", counters.suspensions),
+                ("demand_statements", "Statements of demand sent", counters.demand_statements),
+                ("demand_summaries", "Summaries of demand received", counters.demand_summaries),
+                ("invalid_demand", "Invalid summaries of demand dropped", counters.invalid_demand),
                 (
                     "store_faults",
                     "Calls to the store without result",
@@ -290,6 +301,21 @@
                     "Zones that receive no new tasks",
                     core.cordons().zones.len() as u64,
                 ),
+                (
+                    "demand_entries",
+                    "Entries whose demand is known, this one included",
+                    u64::from(demand.entries),
+                ),
+                (
+                    "released_share_permille",
+                    "Expected share of the released capacity",
+                    permille(demand.share),
+                ),
+                (
+                    "even_share_permille",
+                    "Even share of the released capacity",
+                    permille(demand.even_share),
+                ),
             ],
         );
         registry.register(
--- a/crates/bulrushlatch_node/src/settings.rs
+++ b/crates/bulrushlatch_node/src/settings.rs
@@ -37,6 +37,8 @@
     pub metrics_listen: Option<SocketAddr>,
     /// Time bounds, for which [`Timing::is_safe`] holds.
     pub timing: Timing,
+    /// Whether entries and agents exchange demand.
+    pub demand_exchange: bool,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
     /// Format of log lines.
@@ -82,6 +84,7 @@
     metrics_listen: Option<String>,
     resend_after_ms: Option<String>,
     longest_lease_ms: Option<String>,
+    demand_exchange: Option<String>,
     grace_s: Option<String>,
     log_format: Option<String>,
     log_level: Option<String>,
@@ -98,6 +101,7 @@
             metrics_listen: $flags.metrics_listen,
             resend_after_ms: $flags.resend_after_ms,
             longest_lease_ms: $flags.longest_lease_ms,
+            demand_exchange: $flags.demand_exchange,
             grace_s: $flags.grace_s,
             log_format: $flags.log_format,
             log_level: $flags.log_level,
@@ -112,6 +116,14 @@
     list.first().copied().unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0)))
 }
 
+/// Reads a setting that is `on` or `off`; the default is `off`.
+fn read_switch(reader: &mut SettingsReader, flag: &str, given: Option<String>) -> bool {
+    let value: String = reader.optional(flag, given, "off".to_owned());
+    let is_valid = matches!(value.as_str(), "on" | "off");
+    reader.check(is_valid, &format!("--{flag} must be on or off"));
+    value == "on"
+}
+
 fn read_common(reader: &mut SettingsReader, flags: CommonFlags) -> CommonSettings {
     let resend_after =
         reader.millis("resend-after-ms", flags.resend_after_ms, DEFAULT_RESEND_AFTER);
@@ -140,6 +152,7 @@
         store: read_address(reader, "store", flags.store),
         metrics_listen: metrics_listen.first().copied(),
         timing,
+        demand_exchange: read_switch(reader, "demand-exchange", flags.demand_exchange),
         grace: Duration::from_secs_f64(grace_s.max(1.0)),
         log_format: reader.optional("log-format", flags.log_format, LogFormat::Json),
         log_level: reader.optional("log-level", flags.log_level, "info".to_owned()),
