--- a/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -21,6 +21,7 @@
         fresh_limit,
         proofs::{LivenessProofs, OriginId},
     },
+    demand::AgentDemand,
     stamps::StampHistory,
 };
 
@@ -88,6 +89,8 @@
     pub runs: BTreeMap<TaskKey, OrderedRun>,
     /// Moving average of the ratio of actual to expected run times; 1 is average.
     pub slowness: f64,
+    /// Demand exchanged with the agent.
+    pub demand: AgentDemand,
 }
 
 impl AgentView {
@@ -112,6 +115,7 @@
             sent_at: BootTime::ZERO,
             runs: BTreeMap::new(),
             slowness: 1.0,
+            demand: AgentDemand::default(),
         }
     }
 
@@ -122,6 +126,12 @@
         self.version = version;
         self.is_synced = false;
         self.sent_at = BootTime::ZERO;
+        self.demand.reset_link();
+    }
+
+    /// Returns the version of the frames on the link.
+    pub fn version(&self) -> FrameVersion {
+        self.version
     }
 
     /// Returns the number of the newest order.
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -18,6 +18,7 @@
 //! - [`job_state`]: state of an open job and its tasks
 //! - [`job_times`]: times that bound a job, as seen when it arrives
 //! - [`counters`]: counters for the metrics
+//! - [`demand`]: demand exchanged with agents, and the share of released CPU that follows
 //! - [`run_times`], [`rates`]: learned run times, and rates of demanded CPU
 //! - [`offered_load`]: the load that callers offer
 //! - [`answer_cache`]: final answers for callers that submit a finished job again
@@ -29,6 +30,7 @@
 mod completion;
 pub mod counters;
 pub mod delegation;
+pub mod demand;
 mod dispatch;
 pub mod job_state;
 pub mod job_times;
@@ -63,9 +65,10 @@
 pub use self::{counters::EntryCounters, submission::Submission};
 
 use self::{
-    agent_view::AgentView, answer_cache::AnswerCache, delegation::Delegation, job_state::JobState,
-    late_limit::LateLimit, offered_load::OfferedLoad, overload::OverloadControl,
-    processor_load::ProcessorLoad, rates::RouteDemands, run_times::RunTimes, waiting::WaitingTask,
+    agent_view::AgentView, answer_cache::AnswerCache, delegation::Delegation,
+    demand::DemandExchange, job_state::JobState, late_limit::LateLimit, offered_load::OfferedLoad,
+    overload::OverloadControl, processor_load::ProcessorLoad, rates::RouteDemands,
+    run_times::RunTimes, waiting::WaitingTask,
 };
 
 /// Shortest interval between checks of all agents for due heartbeats: short against the interval of
@@ -102,6 +105,8 @@
     demands: RouteDemands,
     /// Load of the jobs of each service, accepted or not.
     offered_loads: BTreeMap<ServiceName, OfferedLoad>,
+    /// Demand exchanged with agents.
+    demand: DemandExchange,
     /// Number of entries that share the targets, this one included.
     entry_count: u32,
     is_shutting_down: bool,
@@ -143,6 +148,7 @@
             run_times: RunTimes::default(),
             demands: RouteDemands::default(),
             offered_loads: BTreeMap::new(),
+            demand: DemandExchange::default(),
             entry_count: 1,
             is_shutting_down: false,
             processor_load: ProcessorLoad::default(),
@@ -237,14 +243,20 @@
         if now.saturating_sub(self.heartbeats_checked_at) >= HEARTBEAT_CHECK_INTERVAL {
             self.heartbeats_checked_at = now;
             self.agents_with_orders.clear();
-            let proofs = &self.delegation.proofs;
-            let views = self.agents.values_mut();
-            return views.filter_map(|view| view.frame(now, &timing, proofs)).collect();
+            let frames = self.agents.values_mut().filter_map(|view| {
+                let frame = view.frame(now, &timing, &self.delegation.proofs)?;
+                self.demand.state_to(now, view);
+                Some(frame)
+            });
+            return frames.collect();
         }
         let mut frames = Vec::new();
         for agent in self.agents_with_orders.drain(..) {
-            let view = self.agents.get_mut(&agent);
-            frames.extend(view.and_then(|view| view.frame(now, &timing, &self.delegation.proofs)));
+            let Some(view) = self.agents.get_mut(&agent) else { continue };
+            if let Some(frame) = view.frame(now, &timing, &self.delegation.proofs) {
+                self.demand.state_to(now, view);
+                frames.push(frame);
+            }
         }
         frames
     }
@@ -302,6 +314,7 @@
         if now.saturating_sub(self.subset_chosen_at) >= SUBSET_INTERVAL {
             self.update_agents_in_use(now);
         }
+        self.update_demand(now);
         self.stop_stuck_runs(now);
         self.record_spare_capacity(now);
         self.end_hopeless_jobs(now);
--- a/crates/bulrushlatch_node/src/agent/flags.rs
+++ b/crates/bulrushlatch_node/src/agent/flags.rs
@@ -31,6 +31,8 @@
         optional --longest-lease-ms ms: String
         /// Time for which a start order may wait for a run to end, in ms (default 0: none waits)
         optional --max-start-wait-ms ms: String
+        /// Exchange of demand between entries and agents: on or off (default off)
+        optional --demand-exchange switch: String
         /// Time between SIGTERM and SIGKILL, in s (default 6)
         optional --grace-s seconds: String
         /// Format of log lines: text or json (default json)
@@ -55,6 +57,7 @@
     pub resend_after_ms: Option<String>,
     pub longest_lease_ms: Option<String>,
     pub max_start_wait_ms: Option<String>,
+    pub demand_exchange: Option<String>,
     pub grace_s: Option<String>,
     pub log_format: Option<String>,
     pub log_level: Option<String>,
--- a/crates/bulrushlatch_node/src/entry/flags.rs
+++ b/crates/bulrushlatch_node/src/entry/flags.rs
@@ -43,6 +43,8 @@
         optional --delegation mode: String
         /// Busy share of the process's thread above which it delegates jobs, in percent (default 70)
         optional --delegation-busy-percent percent: String
+        /// Exchange of demand between entries and agents: on or off (default off)
+        optional --demand-exchange switch: String
         /// Time between SIGTERM and SIGKILL, in s (default 6)
         optional --grace-s seconds: String
         /// Format of log lines: text or json (default json)
@@ -72,6 +74,7 @@
     pub overload_control: Option<String>,
     pub delegation: Option<String>,
     pub delegation_busy_percent: Option<String>,
+    pub demand_exchange: Option<String>,
     pub grace_s: Option<String>,
     pub log_format: Option<String>,
     pub log_level: Option<String>,
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -155,6 +155,7 @@
         if let Some(delegation) = settings.delegation {
             core.enable_delegation(delegation);
         }
+        core.set_demand_exchange(common.demand_exchange);
         Self {
             id,
             clock: SystemBootClock,
@@ -190,6 +191,7 @@
         let mut core = self.core.borrow_mut();
         let result = action(&mut core, now);
         let frames = core.frames(now);
+        let statements = core.take_demand_statements();
         let answers = core.take_answers();
         let outcomes = core.take_delegated_outcomes();
         let broken_links = core.take_broken_links();
@@ -198,6 +200,10 @@
         for (link, frame) in frames {
             self.send(link, Frame::Entry(frame));
         }
+        // These are written with the same flush as the frames before them.
+        for (link, statement) in statements {
+            self.send(link, Frame::Demand(statement));
+        }
         for (caller, answer) in answers {
             if let Some(sender) = self.pending_answers.borrow_mut().remove(&caller) {
                 // Fails only if the caller has just disconnected and does not need the answer.
@@ -293,6 +299,8 @@
         let counters = core.counters();
         let delegation = core.delegation_counters();
         let delegated_percent = (core.delegated_share() * 100.0) as u64;
+        let demand = core.demand_status(self.clock.now());
+        let permille = |share: f64| (share * 1_000.0).round() as u64;
         metrics::add_counters(
             &mut registry,
             &[
@@ -332,6 +340,9 @@
                     "Invalid frames of other entries",
                     delegation.invalid,
                 ),
+                ("demand_statements", "Statements of demand sent", counters.demand_statements),
+                ("demand_summaries", "Summaries of demand received", counters.demand_summaries),
+                ("invalid_demand", "Invalid summaries of demand dropped", counters.invalid_demand),
                 (
                     "store_faults",
                     "Calls to the store without result",
@@ -370,6 +381,21 @@
                     "Zones that receive no new tasks",
                     core.cordons().zones.len() as u64,
                 ),
+                (
+                    "demand_entries",
+                    "Entries whose demand is known, this one included",
+                    u64::from(demand.entries),
+                ),
+                (
+                    "released_share_permille",
+                    "Expected share of the released capacity",
+                    permille(demand.share),
+                ),
+                (
+                    "even_share_permille",
+                    "Even share of the released capacity",
+                    permille(demand.even_share),
+                ),
             ],
         );
         registry.register(
