--- a/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use super::service_numbers::ServiceNumber;
 use crate::{
     clock::BootTime,
     frame::{
@@ -16,8 +17,9 @@
     timing::Timing,
 };
 
-/// Share of the contact limit without a frame after which nothing new is placed at an agent.
-const FRESH_SHARE: f64 = 0.5;
+/// Part of the contact limit, as its divisor, without a frame after which nothing new is placed at an
+/// agent. An integer, since each decision checks each agent.
+const FRESH_DIVISOR: u32 = 2;
 
 /// Idle heartbeats without a frame beyond which an agent is not chosen for placement.
 const MAX_SILENT_HEARTBEATS: u32 = 2;
@@ -55,6 +57,8 @@
     pub is_cordoned: bool,
     /// Last received profile of the agent's target.
     pub profile: Profile,
+    /// Number of the profile's service; `None` before the first profile.
+    pub service: Option<ServiceNumber>,
     /// Last received offer.
     pub offer: Offer,
     /// When the last frame arrived. No later stamp can have been echoed to the agent, so it stops
@@ -69,6 +73,8 @@
     /// Orders for the next frame.
     pending: Vec<Order>,
     unacknowledged: VecDeque<UnacknowledgedOrder>,
+    /// Sum of the sizes in the start orders of `unacknowledged`.
+    unacknowledged_size: Size,
     sent_at: BootTime,
     /// This entry's runs at the agent.
     pub runs: BTreeMap<TaskKey, OrderedRun>,
@@ -87,6 +93,7 @@
             is_in_use: false,
             is_cordoned: false,
             profile: Profile::default(),
+            service: None,
             offer: Offer::default(),
             received_at: now,
             is_synced: false,
@@ -95,6 +102,7 @@
             last_order,
             pending: Vec::new(),
             unacknowledged: VecDeque::new(),
+            unacknowledged_size: Size::default(),
             sent_at: BootTime::ZERO,
             runs: BTreeMap::new(),
             slowness: 1.0,
@@ -126,7 +134,10 @@
     /// Applies a frame; returns the tasks of start orders that never reached the agent.
     pub fn receive(&mut self, now: BootTime, frame: &AgentFrame) -> Vec<TaskKey> {
         while self.unacknowledged.front().is_some_and(|order| order.number <= frame.orders_seen) {
-            self.unacknowledged.pop_front();
+            let order = self.unacknowledged.pop_front();
+            if let Some(UnacknowledgedOrder { action: Action::Start(start), .. }) = order {
+                self.unacknowledged_size = self.unacknowledged_size.saturating_sub(&start.size);
+            }
         }
         let undelivered = if self.is_synced { Vec::new() } else { self.sync() };
         self.offer = frame.offer;
@@ -145,6 +156,7 @@
         self.is_synced = true;
         self.pending.clear();
         let lost: Vec<UnacknowledgedOrder> = self.unacknowledged.drain(..).collect();
+        self.unacknowledged_size = Size::default();
         let mut undelivered = Vec::new();
         for order in lost {
             match order.action {
@@ -166,8 +178,8 @@
 
     /// Returns whether a frame arrived recently on an open link.
     pub fn is_fresh(&self, now: BootTime, timing: &Timing) -> bool {
-        let limit = timing.contact_limit.mul_f64(FRESH_SHARE);
-        self.link.is_some() && self.is_synced && now.saturating_sub(self.received_at) <= limit
+        let age = now.saturating_sub(self.received_at);
+        self.link.is_some() && self.is_synced && age * FRESH_DIVISOR <= timing.contact_limit
     }
 
     /// Returns whether the agent's state is known well enough to choose it for placement.
@@ -194,13 +206,12 @@
 
     /// Returns the offered free capacity, less what unacknowledged start orders will occupy.
     pub fn free(&self) -> Size {
-        let mut free = self.offer.free;
-        for order in &self.unacknowledged {
-            if let Action::Start(start) = &order.action {
-                free = free.saturating_sub(&start.size);
-            }
-        }
-        free
+        self.offer.free.saturating_sub(&self.unacknowledged_size)
+    }
+
+    /// Returns the free capacity if new tasks may be placed at the agent.
+    pub fn free_if_available(&self, now: BootTime, timing: &Timing) -> Option<Size> {
+        self.is_available(now, timing).then(|| self.free())
     }
 
     /// Returns the number of this entry's runs of a step at the agent.
@@ -221,6 +232,9 @@
     pub fn issue_order(&mut self, action: Action) -> OrderNumber {
         self.last_order += 1;
         let number = self.last_order;
+        if let Action::Start(start) = &action {
+            self.unacknowledged_size.add(&start.size);
+        }
         self.unacknowledged.push_back(UnacknowledgedOrder { number, action: action.clone() });
         self.pending.push(Order { number, action });
         number
--- a/crates/bulrushlatch_dispatch/src/entry/agents.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agents.rs
@@ -90,6 +90,7 @@
             has_changed |= view.set_in_use(is_chosen || !view.runs.is_empty());
         }
         if has_changed {
+            self.is_placement_due = true;
             self.heartbeats_checked_at = BootTime::ZERO;
         }
     }
--- a/crates/bulrushlatch_dispatch/src/entry/completion.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/completion.rs
@@ -114,7 +114,9 @@
         let objective_at = job.objective_at;
         for key in job.unblock_tasks() {
             let class = WaitClass::InTime;
-            self.waiting.insert(WaitingTask { class, due_at: objective_at, key });
+            let cpu_millis = job.cpu_millis(&key);
+            let task = WaitingTask { class, due_at: objective_at, key };
+            self.waiting.insert(task, cpu_millis, &job.route.name);
         }
     }
 
@@ -130,7 +132,9 @@
         }
         task.phase = Phase::Waiting;
         let (class, key) = (WaitClass::Restart, key.clone());
-        self.waiting.insert(WaitingTask { class, due_at: arrived_at, key });
+        let cpu_millis = job.cpu_millis(&key);
+        let task = WaitingTask { class, due_at: arrived_at, key };
+        self.waiting.insert(task, cpu_millis, &job.route.name);
     }
 
     /// Gives up jobs past their deadline, and jobs that have not started and whose answer would come
@@ -139,8 +143,11 @@
         let mut hopeless = Vec::new();
         let mut late = Vec::new();
         for (id, job) in &self.jobs {
-            let answer_at = now + self.expected_critical_path(&job.route, &job.request);
             let may_have_run = job.may_have_run();
+            if may_have_run && now < job.deadline_at {
+                continue;
+            }
+            let answer_at = now + self.expected_critical_path(&job.route, &job.request);
             if now >= job.deadline_at || (!may_have_run && answer_at >= job.useful_until) {
                 hopeless.push(id.clone());
             } else if !may_have_run && !job.is_late() && answer_at >= job.objective_at {
@@ -175,9 +182,11 @@
     pub(super) fn reclassify(&mut self, id: &JobId, class: WaitClass, due_at: BootTime) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.class = class;
-        let waiting = job.waiting_tasks().into_iter();
-        self.waiting.retain(|task| task.key.job != *id);
-        self.waiting.extend(waiting.map(|key| WaitingTask { class, due_at, key }));
+        self.waiting.remove_job(id);
+        for key in job.waiting_tasks() {
+            let cpu_millis = job.cpu_millis(&key);
+            self.waiting.insert(WaitingTask { class, due_at, key }, cpu_millis, &job.route.name);
+        }
     }
 
     /// Ends a job that can no longer be served: answers `Interrupted` if it may have run, and
@@ -215,7 +224,7 @@
             self.issue_stop(&key, &agent, order, false);
         }
         if has_waiting_task {
-            self.waiting.retain(|task| task.key.job != *id);
+            self.waiting.remove_job(id);
         }
         let Some(job) = self.jobs.remove(id) else { return };
         match answer {
--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -1,11 +1,12 @@
 //! Placement of waiting tasks, and detection of stuck runs.
 
-use std::{ops::Bound, time::Duration};
+use std::time::Duration;
 
 use crate::{
     clock::BootTime,
     frame::{Action, StartOrder},
     ids::{JobId, OrderNumber, ProcessId, TaskKey},
+    job::Step,
 };
 
 use super::{
@@ -30,11 +31,11 @@
 impl Entry {
     /// Places waiting tasks in the order of the queue until [`MAX_MISSES`] of them find no agent.
     pub(super) fn place_waiting_tasks(&mut self, now: BootTime) {
+        self.is_placement_due = false;
         let mut after: Option<WaitingTask> = None;
         let mut misses = 0;
         while misses < MAX_MISSES {
-            let from = after.map_or(Bound::Unbounded, Bound::Excluded);
-            let next = self.waiting.range((from, Bound::Unbounded)).next().cloned();
+            let next = self.waiting.next_after(after.as_ref()).cloned();
             let Some(next) = next else { return };
             if self.place_task(now, &next.key) {
                 self.waiting.remove(&next);
@@ -77,6 +78,7 @@
         let total = self.agents.values().map(|view| view.profile.total.cpu_millis).sum();
         self.late_limit.record_start(cpu_millis, total);
         self.reclassify(id, WaitClass::InTime, now);
+        self.is_placement_due = true;
     }
 
     /// Returns the agent at which to start a task, if any has capacity.
@@ -84,9 +86,11 @@
         let job = self.jobs.get(&key.job)?;
         let step = job.request.steps.get(key.step as usize)?;
         let task = job.task(key)?;
-        let available = self.agents.iter().filter(|(_, view)| {
-            view.is_available(now, &self.timing) && view.profile.service == job.route.service
-        });
+        let service = Some(self.services.number(&job.route.service)?);
+        let available = self
+            .agents
+            .iter()
+            .filter(|(_, view)| view.service == service && view.is_available(now, &self.timing));
         let candidates = available.map(|(agent, view)| Candidate {
             agent,
             free: view.free(),
@@ -99,9 +103,11 @@
                 None => 0,
             },
         });
-        let candidates: Vec<Candidate<'_>> = candidates.collect();
-        let free: u64 = candidates.iter().map(|candidate| candidate.free.cpu_millis).sum();
-        let total = candidates.iter().map(|candidate| candidate.total.cpu_millis).sum();
+        let (mut free, mut total) = (0, 0);
+        for candidate in candidates.clone() {
+            free += candidate.free.cpu_millis;
+            total += candidate.total.cpu_millis;
+        }
         // A job that has started may use the reserve: finishing it releases the capacity that it
         // holds.
         let may_use_reserve = job.has_run || self.is_most_urgent(&job.route);
@@ -118,13 +124,12 @@
             return None;
         }
         let is_avoided = |candidate: &Candidate<'_>| task.avoided_agents.contains(candidate.agent);
-        let preferred = candidates.iter().copied().filter(|candidate| !is_avoided(candidate));
+        let preferred = candidates.clone().filter(|candidate| !is_avoided(candidate));
         let chosen = placement::choose(preferred, step, || self.rng.f64());
         // If all candidates are avoided, any of them is better than none.
-        let all_avoided = candidates.iter().all(is_avoided);
         let chosen = match chosen {
-            None if all_avoided => {
-                placement::choose(candidates.into_iter(), step, || self.rng.f64())
+            None if candidates.clone().all(|candidate| is_avoided(&candidate)) => {
+                placement::choose(candidates, step, || self.rng.f64())
             }
             chosen => chosen,
         };
@@ -135,9 +140,16 @@
     pub(super) fn stop_stuck_runs(&mut self, now: BootTime) {
         let mut stuck = Vec::new();
         for job in self.jobs.values() {
-            for key in job.task_keys() {
-                if let Some((agent, order, limit)) = self.stuck_run(now, job, &key) {
-                    stuck.push((key, agent.clone(), order, limit));
+            for (number, step) in job.request.steps.iter().enumerate() {
+                // No run of the step has lasted longer than the job has been open.
+                if now.saturating_sub(job.arrived_at) <= least_stuck_limit(step) {
+                    continue;
+                }
+                for index in 0..step.tasks {
+                    let key = TaskKey { job: job.request.id.clone(), step: number as u32, index };
+                    if let Some((agent, order, limit)) = self.stuck_run(now, job, &key) {
+                        stuck.push((key, agent.clone(), order, limit));
+                    }
                 }
             }
         }
@@ -163,6 +175,9 @@
             return None;
         }
         let step = job.request.steps.get(key.step as usize)?;
+        if now.saturating_sub(*placed_at) <= least_stuck_limit(step) {
+            return None;
+        }
         let expected = self.run_times.expected(&job.route.name, step.estimate).max(step.estimate);
         // The limit doubles with each stuck run: it becomes more likely that the task itself is
         // long.
@@ -194,3 +209,8 @@
         }
     }
 }
+
+/// Returns the shortest time limit that a run of the step can have, whatever has been learned.
+fn least_stuck_limit(step: &Step) -> Duration {
+    step.estimate.mul_f64(STUCK_FACTOR) + STUCK_MARGIN
+}
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -16,6 +16,7 @@
 //! - [`counters`]: counters for the metrics
 //! - [`run_times`], [`rates`]: learned run times, and rates of demanded CPU
 //! - [`offered_load`]: the load that callers offer
+//! - [`service_numbers`]: numbers that stand for the names of services
 //! - [`answer_cache`]: final answers for callers that submit a finished job again
 
 pub mod admission;
@@ -32,15 +33,13 @@
 pub mod placement;
 pub mod rates;
 pub mod run_times;
+pub mod service_numbers;
 mod submission;
 pub mod subset;
 mod supply;
 pub mod waiting;
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
     clock::BootTime,
@@ -49,6 +48,7 @@
     ids::{CallerId, JobId, LinkId, OrderNumber, ProcessId, ServiceName},
     outcome::{Answer, Obstacle, RunOutcome},
     routing::RoutingTable,
+    size::Size,
     timing::Timing,
 };
 
@@ -56,7 +56,8 @@
 
 use self::{
     agent_view::AgentView, answer_cache::AnswerCache, job_state::JobState, late_limit::LateLimit,
-    offered_load::OfferedLoad, rates::RouteDemands, run_times::RunTimes, waiting::WaitingTask,
+    offered_load::OfferedLoad, rates::RouteDemands, run_times::RunTimes,
+    service_numbers::ServiceNumbers, waiting::WaitingQueue,
 };
 
 /// Average lag of the tick timer above which no new jobs are accepted: heartbeats are due every
@@ -83,13 +84,18 @@
     table: Option<RoutingTable>,
     agents: BTreeMap<ProcessId, AgentView>,
     cordons: Cordons,
+    /// Numbers of the services that agents' targets have announced.
+    services: ServiceNumbers,
     /// Highest order number issued to a removed agent. The agent may still know this entry, and
     /// then ignores orders whose numbers are not above those it has seen.
     last_removed_order: OrderNumber,
     jobs: BTreeMap<JobId, JobState>,
     callers: BTreeMap<CallerId, JobId>,
     /// Tasks that wait for capacity, ordered by class and time, not by the priority of their routes.
-    waiting: BTreeSet<WaitingTask>,
+    waiting: WaitingQueue,
+    /// Whether something else than an agent's free capacity has changed since the waiting tasks were
+    /// last tried.
+    is_placement_due: bool,
     /// Limit on the work that waits in the late class.
     late_limit: LateLimit,
     answer_cache: AnswerCache,
@@ -128,10 +134,12 @@
             table: None,
             agents: BTreeMap::new(),
             cordons: Cordons::default(),
+            services: ServiceNumbers::default(),
             last_removed_order: 0,
             jobs: BTreeMap::new(),
             callers: BTreeMap::new(),
-            waiting: BTreeSet::new(),
+            waiting: WaitingQueue::default(),
+            is_placement_due: false,
             late_limit: LateLimit::default(),
             answer_cache: AnswerCache::default(),
             run_times: RunTimes::default(),
@@ -263,13 +271,22 @@
             return;
         }
         let accepted_before = view.offer.accepts;
+        let before = view.free_if_available(now, &self.timing);
         let undelivered = view.receive(now, &frame);
         if frame.profile.is_some() {
             view.is_cordoned = self.cordons.contains(&view.profile.zone);
+            view.service = self.services.add(&view.profile.service);
         }
         if view.has_pending_frame() {
             self.agents_with_orders.push(agent.clone());
         }
+        let after = view.free_if_available(now, &self.timing);
+        // Without such a change each waiting task would miss again. The next tick tries them anyway,
+        // since agents may have become unavailable by silence.
+        let may_place = frame.profile.is_some()
+            || !frame.reports.is_empty()
+            || !undelivered.is_empty()
+            || may_free_capacity(before, after);
         let is_in_use = view.is_in_use;
         if frame.profile.is_some() || (frame.offer.accepts && !is_in_use && !accepted_before) {
             self.update_agents_in_use(now);
@@ -294,7 +311,9 @@
             }
             self.handle_run_end(now, agent, &report.task, report.order, report.outcome, run_time);
         }
-        self.place_waiting_tasks(now);
+        if may_place || self.is_placement_due {
+            self.place_waiting_tasks(now);
+        }
     }
 
     /// Does periodic work: ends the runs at silent agents, stops stuck runs, gives up late jobs and
@@ -333,3 +352,13 @@
         self.give_up_open_jobs(now);
     }
 }
+
+/// Returns whether a task that missed with `before` free at an agent may be placed with `after`; `None`
+/// stands for an agent that is not available. Losing an agent counts, as the reserve shrinks with it.
+fn may_free_capacity(before: Option<Size>, after: Option<Size>) -> bool {
+    match (before, after) {
+        (None, None) => false,
+        (Some(before), Some(after)) => !after.fits(&before),
+        _ => true,
+    }
+}
--- a/crates/bulrushlatch_dispatch/src/entry/submission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/submission.rs
@@ -173,7 +173,9 @@
         let due_at = due_at.min(job.deadline_at);
         let class = job.class;
         for key in job.unblock_tasks() {
-            self.waiting.insert(WaitingTask { class, due_at, key });
+            let cpu_millis = job.cpu_millis(&key);
+            let task = WaitingTask { class, due_at, key };
+            self.waiting.insert(task, cpu_millis, &job.route.name);
         }
         for &caller in &job.callers {
             self.callers.insert(caller, job.request.id.clone());
--- a/crates/bulrushlatch_dispatch/src/entry/supply.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/supply.rs
@@ -13,7 +13,6 @@
     Entry,
     admission::{self, Supply},
     agent_view::AgentView,
-    waiting::WaitClass,
 };
 
 /// Time after the start of the process for which targets are expected to be found.
@@ -36,8 +35,9 @@
         now: BootTime,
         route: &'a Route,
     ) -> impl Iterator<Item = &'a AgentView> {
+        let service = self.services.number(&route.service);
         self.agents.values().filter(move |agent| {
-            agent.is_available(now, &self.timing) && agent.profile.service == route.service
+            service.is_some() && agent.service == service && agent.is_available(now, &self.timing)
         })
     }
 
@@ -64,7 +64,7 @@
         let busy_cpu_millis = total_cpu_millis - free_cpu_millis.min(total_cpu_millis);
         let released = self.released_cpu_millis_per_s(busy_cpu_millis, run_time);
         let reserve = admission::reserve_cpu_millis(total_cpu_millis, self.is_most_urgent(route));
-        let queue = self.queue_lengths(route);
+        let queue = self.waiting.lengths(&route.name);
         let max_late_cpu_millis = if self.had_spare_capacity(now, &route.service, max_late_wait) {
             self.late_limit.cpu_millis(total_cpu_millis)
         } else {
@@ -137,36 +137,8 @@
         supply.has_late_room(job.request.initial_demand().cpu_millis)
     }
 
-    /// Returns the CPU that waiting tasks need.
-    fn queue_lengths(&self, route: &Route) -> QueueLengths {
-        let mut lengths = QueueLengths::default();
-        for task in &self.waiting {
-            let Some(job) = self.jobs.get(&task.key.job) else { continue };
-            let Some(step) = job.request.steps.get(task.key.step as usize) else { continue };
-            let cpu_millis = step.size.cpu_millis;
-            lengths.cpu_millis += cpu_millis;
-            if task.class == WaitClass::Late {
-                lengths.late_cpu_millis += cpu_millis;
-            } else if job.route.name == route.name {
-                lengths.same_route_cpu_millis += cpu_millis;
-            }
-        }
-        lengths
-    }
-
     /// Returns whether no other route of the service has a lower priority number.
     pub(super) fn is_most_urgent(&self, route: &Route) -> bool {
         self.table.as_ref().is_none_or(|table| table.is_most_urgent(route))
     }
 }
-
-/// CPU that waiting tasks need, in thousandths of a core.
-#[derive(Clone, Copy, Debug, Default)]
-struct QueueLengths {
-    /// All of them.
-    cpu_millis: u64,
-    /// Those of one route, without late jobs.
-    same_route_cpu_millis: u64,
-    /// Those of late jobs.
-    late_cpu_millis: u64,
-}
