--- a/crates/bulrushlatch_dispatch/src/entry/demand.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/demand.rs
@@ -301,7 +301,7 @@
         for service in self.demand.services.values_mut() {
             service.update_offered(now);
         }
-        for task in &self.waiting {
+        for task in self.waiting.iter() {
             let Some(job) = self.jobs.get(&task.key.job) else { continue };
             let Some(step) = job.request.steps.get(task.key.step as usize) else { continue };
             if let Some(service) = self.demand.services.get_mut(&job.route.service) {
