Delegated share rises with the queueing delay

Cause: from an exhausted processor the share takes a second to rise, while requests queue up; and a preparing entry exchanged frames with as many delegates as all its jobs would need.

Change: the queueing delay adds to the busy share above the threshold. The delegates in use are chosen for the delegated rate, so that a preparing entry uses one or two.

Measured: in the test of the controller, 200 ms of delay raise the share from below 0.3 to above 0.9 after 300 ms of a full processor.

--- a/crates/bulrushlatch_dispatch/src/entry/delegation/delegates.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/delegates.rs
@@ -11,7 +11,7 @@
 const MAX_USED: usize = 4;
 /// Interval at which the delegates in use are chosen again.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(300);
-/// Factor on the rate of arriving jobs that the delegates in use are to take together.
+/// Factor on the rate of delegated jobs that the delegates in use are to take together.
 const CAPACITY_FACTOR: f64 = 1.25;
 /// Time for which a delegate's offered rate may be used in advance.
 const BURST: Duration = Duration::from_millis(50);
@@ -104,7 +104,7 @@
         self.chosen_at = BootTime::ZERO;
     }
 
-    /// Chooses the delegates to use for jobs that arrive at the given rate: those of the own zone
+    /// Chooses the delegates to use for jobs that are delegated at the given rate: those of the own zone
     /// first, then those already in use, then at random by what they offer.
     pub fn update_used(&mut self, now: BootTime, rng: &mut fastrand::Rng, jobs_per_s: f64) {
         if now.saturating_sub(self.chosen_at) < CHOICE_INTERVAL && self.count_used() > 0 {
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/origin.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/origin.rs
@@ -11,6 +11,9 @@
 
 use super::{super::Entry, DelegationCounters, fresh_limit, silence_limit};
 
+/// Added to the delegated share in the choice of delegates: what it rises by until the next choice.
+const SHARE_MARGIN: f64 = 0.2;
+
 /// A submission that has not been decoded.
 #[derive(Clone, Copy, Debug)]
 pub struct DelegableRequest<'a> {
@@ -147,6 +150,8 @@
         let Some(job) = self.delegation.outgoing.end(link, answer.number, outcome) else { return };
         if outcome == DelegatedOutcome::NotTaken {
             self.delegation.counters.not_taken += 1;
+            // It counts when this entry carries it out.
+            self.counters.arrived -= 1;
             self.delegation.delegates.record_refusal(link);
             tracing::info!(%job, link, "delegated job not taken: carried out here");
         }
@@ -191,12 +196,14 @@
     /// Updates the share of jobs to delegate and the delegates in use.
     pub(super) fn update_delegated_share(&mut self, now: BootTime, elapsed: Duration) {
         let busy_share = self.processor_load.busy_share();
+        let queueing_delay = self.processor_load.queueing_delay();
         let delegation = &mut self.delegation;
         let used_before = delegation.delegates.count_used();
-        delegation.share.update(elapsed, busy_share);
+        delegation.share.update(elapsed, busy_share, queueing_delay);
         if delegation.share.is_prepared() || self.is_shutting_down {
-            let jobs_per_s = delegation.arrivals.jobs_per_s(now);
-            delegation.delegates.update_used(now, &mut self.rng, jobs_per_s);
+            let share = if self.is_shutting_down { 1.0 } else { delegation.share.share() };
+            let needed = delegation.arrivals.jobs_per_s(now) * (share + SHARE_MARGIN).min(1.0);
+            delegation.delegates.update_used(now, &mut self.rng, needed);
         } else {
             delegation.delegates.release();
         }
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/share.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/share.rs
@@ -10,6 +10,9 @@
 /// Rate at which the delegated share rises, per second and unit of the busy share above the threshold.
 /// From an exhausted processor it takes a second to delegate everything.
 const GAIN_PER_S: f64 = 3.0;
+/// Queueing delay that counts as much as a processor that is busy for twice the time there is: work
+/// that has queued up comes on top of what arrives, and delays every job behind it.
+const FULL_DELAY: Duration = Duration::from_millis(200);
 /// Longest time that one update accounts for.
 const MAX_ELAPSED: Duration = Duration::from_millis(100);
 
@@ -30,10 +33,12 @@
         Self { threshold, share: 0.0, is_prepared: false }
     }
 
-    /// Updates the share by the busy share of the last `elapsed`.
-    pub fn update(&mut self, elapsed: Duration, busy_share: f64) {
+    /// Updates the share by the busy share of the last `elapsed`, and by how long an arriving request
+    /// waits at present.
+    pub fn update(&mut self, elapsed: Duration, busy_share: f64, queueing_delay: Duration) {
         let elapsed_s = elapsed.min(MAX_ELAPSED).as_secs_f64();
-        let change = GAIN_PER_S * (busy_share - self.threshold) * elapsed_s;
+        let delay = (queueing_delay.as_secs_f64() / FULL_DELAY.as_secs_f64()).min(1.0);
+        let change = GAIN_PER_S * (busy_share - self.threshold + delay) * elapsed_s;
         self.share = (self.share + change).clamp(0.0, 1.0);
         self.is_prepared = self.share > 0.0 || busy_share > self.threshold - PREPARATION_DISTANCE;
     }
--- a/crates/bulrushlatch_dispatch/tests/delegation/load.rs
+++ b/crates/bulrushlatch_dispatch/tests/delegation/load.rs
@@ -20,7 +20,7 @@
         let share = controller.share();
         let busy_share = (demand * (1.0 - share + share * ORIGIN_COST)).min(1.0);
         load.record(TICK, TICK.mul_f64(busy_share), Duration::ZERO);
-        controller.update(TICK, load.busy_share());
+        controller.update(TICK, load.busy_share(), Duration::ZERO);
         if tick >= (seconds - 1) * 50 {
             busy_sum += busy_share / 50.0;
             share_sum += share / 50.0;
@@ -57,6 +57,18 @@
     assert!(share < 0.001 && !controller.is_prepared(), "{share}");
 }
 
+/// Guards against a burst that queues up for a second before the share has risen.
+#[test]
+fn queueing_delay_makes_the_share_rise_faster() {
+    let share_after = |queueing_delay| {
+        let mut controller = DelegatedShare::new(DEFAULT_THRESHOLD);
+        (0..15).for_each(|_| controller.update(TICK, 1.0, queueing_delay));
+        controller.share()
+    };
+    let (without, with) = (share_after(Duration::ZERO), share_after(Duration::from_millis(200)));
+    assert!(without < 0.3 && with > 0.9, "{without} and {with} after 300 ms");
+}
+
 #[test]
 fn delegates_are_prepared_before_the_first_job_is_delegated() {
     let mut controller = DelegatedShare::new(DEFAULT_THRESHOLD);
