--- a/crates/bulrushlatch_dispatch/src/entry/delegation/delegate.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/delegate.rs
@@ -67,7 +67,12 @@
         self.detect_suspension(now);
         let job = request.id.clone();
         let peer = self.delegation.peers.get(&link).map(|peer| peer.process.name.as_str());
-        tracing::info!(%job, peer, link, number, busy_percent = self.busy_percent(), "accepted from another entry");
+        tracing::info!(
+            %job, peer, link, number,
+            busy_percent = self.busy_percent(),
+            spare_jobs_per_s = self.spare_jobs_per_s(),
+            "accepted from another entry"
+        );
         if self.end_conflicting_job(now, link, &job) {
             self.answer_delegated(link, number, Answer::Interrupted);
             return;
