Waiting jobs looked at again under a shortage; reserve that follows the urgent demand

Cause: admission decided once, on arrival, so that after the loss of targets a job waited until its objective had passed. The reserve for urgent routes was 6% of the capacity whatever they demanded.

Change: entry/shortage.rs looks at the waiting jobs that have not started each tick, in the order of the queue. One that cannot start in time by what waits ahead and what is released goes to the late class or is refused at once; less urgent jobs ahead make way if that lets it start, down to half of the share that the service (entry/served_shares.rs) or, for the largest tenth, the route is served in. No job that may have run is refused. entry/reserve.rs: half a standard deviation of the urgent demand at a service, one where entries share targets, at most a quarter of the capacity.

--- a/crates/bulrushlatch_dispatch/src/entry/admission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/admission.rs
@@ -13,16 +13,6 @@
 /// Share of [`Demand::max_wait`] that the expected wait may use; the rest covers errors of the
 /// estimate.
 const WAIT_SHARE: f64 = 0.75;
-/// Share of a service's capacity that less urgent jobs leave free, so that urgent jobs, those of
-/// the routes with the service's lowest priority number, need not wait for a run to end: about what
-/// urgent jobs use during one run of a typical task.
-const URGENT_RESERVE: f64 = 0.06;
-
-/// Returns the CPU that a job leaves free for more urgent routes, in thousandths of a core.
-pub fn reserve_cpu_millis(total_cpu_millis: u64, may_use_reserve: bool) -> u64 {
-    if may_use_reserve { 0 } else { (total_cpu_millis as f64 * URGENT_RESERVE) as u64 }
-}
-
 /// Requirements of a job.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand {
--- a/crates/bulrushlatch_dispatch/src/entry/completion.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/completion.rs
@@ -163,7 +163,7 @@
     }
 
     /// Moves a job that has not started, and will miss its objective, to the late class.
-    fn make_late(&mut self, now: BootTime, id: &JobId) {
+    pub(super) fn make_late(&mut self, now: BootTime, id: &JobId) {
         let Some(job) = self.jobs.get(id) else { return };
         let waited_ms = now.saturating_sub(job.arrived_at).as_millis() as u64;
         tracing::info!(job = %id, waited_ms, "job will be late");
--- a/crates/bulrushlatch_dispatch/src/entry/counters.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/counters.rs
@@ -15,6 +15,10 @@
     pub late_refusals: u64,
     /// Jobs refused for lack of processor time; `refused` includes them.
     pub refused_by_processor: u64,
+    /// Waiting jobs refused because they could not start in time; `late_refusals` includes them.
+    pub refused_while_waiting: u64,
+    /// Waiting jobs refused in favor of more urgent ones; `late_refusals` includes them.
+    pub displaced: u64,
     /// Jobs given up after they may have run.
     pub interrupted: u64,
     /// Jobs stopped because no caller waited for them any longer.
--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{
-    Entry, admission,
+    Entry,
     job_state::{JobState, Phase},
     placement::{self, Candidate},
     waiting::{WaitClass, WaitingTask},
@@ -105,7 +105,11 @@
         // A job that has started may use the reserve: finishing it releases the capacity that it
         // holds.
         let may_use_reserve = job.has_run || self.is_most_urgent(&job.route);
-        let reserve = admission::reserve_cpu_millis(total, may_use_reserve);
+        let reserve = if may_use_reserve {
+            0
+        } else {
+            self.urgent_reserve_cpu_millis(&job.route.service, total)
+        };
         // A late job starts as a whole, so that it does not wait half started.
         let needed = if job.is_late() {
             job.request.initial_demand().cpu_millis
--- a/crates/bulrushlatch_dispatch/src/entry/job_state.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/job_state.rs
@@ -97,6 +97,11 @@
         self.steps.get_mut(key.step as usize)?.get_mut(key.index as usize)
     }
 
+    /// Returns the CPU that a task needs, in thousandths of a core.
+    pub fn cpu_millis(&self, key: &TaskKey) -> u64 {
+        self.request.steps.get(key.step as usize).map_or(0, |step| step.size.cpu_millis)
+    }
+
     /// Returns whether it has not started and will miss its objective.
     pub fn is_late(&self) -> bool {
         self.class == WaitClass::Late
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -4,6 +4,9 @@
 //! - [`admission`]: accepts or refuses a job when it arrives
 //! - `supply`: the capacity that arriving jobs can expect
 //! - [`late_limit`]: how much work may wait that will be late
+//! - [`shortage`]: refuses waiting jobs that cannot start in time
+//! - [`served_shares`]: how often each route and size of job is served
+//! - [`reserve`]: capacity that is left to the most urgent routes
 //! - [`waiting`]: order in which waiting tasks are placed
 //! - `dispatch`: places waiting tasks and stops stuck runs
 //! - `completion`: handles ended runs and ends jobs
@@ -35,7 +38,10 @@
 pub mod placement;
 pub mod processor_load;
 pub mod rates;
+pub mod reserve;
 pub mod run_times;
+pub mod served_shares;
+mod shortage;
 mod submission;
 pub mod subset;
 mod supply;
@@ -61,7 +67,8 @@
 use self::{
     agent_view::AgentView, answer_cache::AnswerCache, job_state::JobState, late_limit::LateLimit,
     offered_load::OfferedLoad, overload::OverloadControl, processor_load::ProcessorLoad,
-    rates::RouteDemands, run_times::RunTimes, waiting::WaitingTask,
+    rates::RouteDemands, reserve::UrgentDemand, run_times::RunTimes, served_shares::ServedShares,
+    waiting::WaitingTask,
 };
 
 /// Shortest interval between checks of all agents for due heartbeats: short against the interval of
@@ -103,6 +110,12 @@
     is_shutting_down: bool,
     processor_load: ProcessorLoad,
     overload: OverloadControl,
+    /// Whether waiting jobs are looked at again each tick, and the reserve follows the demand.
+    shortage_policy: bool,
+    /// How often the routes of each service are served.
+    served_shares: BTreeMap<ServiceName, ServedShares>,
+    /// Demand of the most urgent routes of each service.
+    urgent_demands: BTreeMap<ServiceName, UrgentDemand>,
     /// When each service last had room for late jobs.
     spare_seen_at: BTreeMap<ServiceName, BootTime>,
     /// Time of the first event.
@@ -141,6 +154,9 @@
             is_shutting_down: false,
             processor_load: ProcessorLoad::default(),
             overload: OverloadControl::default(),
+            shortage_policy: false,
+            served_shares: BTreeMap::new(),
+            urgent_demands: BTreeMap::new(),
             spare_seen_at: BTreeMap::new(),
             started_at: BootTime::ZERO,
             last_event_at: BootTime::ZERO,
@@ -292,8 +308,10 @@
             self.update_agents_in_use(now);
         }
         self.stop_stuck_runs(now);
+        self.update_reserves(now);
         self.record_spare_capacity(now);
         self.end_hopeless_jobs(now);
+        self.refuse_unserveable_jobs(now);
         self.place_waiting_tasks(now);
     }
 
--- a/crates/bulrushlatch_dispatch/src/entry/submission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/submission.rs
@@ -127,6 +127,8 @@
         };
         self.overload.record_job(&route.name, demand.max_wait);
         self.demands.record(now, &route.name, demand.cpu_millis);
+        self.record_arrived_share(now, &route, demand.cpu_millis);
+        self.record_urgent_demand(now, &route, demand.cpu_millis, critical_path, demand.max_wait);
         let load = self.offered_loads.entry(route.service.clone()).or_default();
         load.record(now, demand.cpu_millis, critical_path);
         let has_targets =
@@ -146,6 +148,7 @@
             Admission::Accept { .. } => WaitClass::InTime,
             Admission::AcceptLate { .. } => WaitClass::Late,
             Admission::Refuse { wait } => {
+                self.record_refused_share(now, &route, demand.cpu_millis);
                 self.refuse(now, caller, &job, Refusal::Overloaded, wait);
                 return;
             }
--- a/crates/bulrushlatch_dispatch/src/entry/supply.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/supply.rs
@@ -9,12 +9,7 @@
     routing::Route,
 };
 
-use super::{
-    Entry,
-    admission::{self, Supply},
-    agent_view::AgentView,
-    waiting::WaitClass,
-};
+use super::{Entry, admission::Supply, agent_view::AgentView, waiting::WaitClass};
 
 /// Time after the start of the process for which targets are expected to be found.
 const DISCOVERY_TIME: Duration = Duration::from_millis(1_000);
@@ -55,15 +50,13 @@
         run_time: Duration,
         max_late_wait: Duration,
     ) -> Supply {
-        let mut free_cpu_millis = 0;
-        let mut total_cpu_millis = 0;
-        for agent in self.available_targets(now, route) {
-            free_cpu_millis += agent.free().cpu_millis;
-            total_cpu_millis += agent.profile.total.cpu_millis;
-        }
-        let busy_cpu_millis = total_cpu_millis - free_cpu_millis.min(total_cpu_millis);
-        let released = self.released_cpu_millis_per_s(busy_cpu_millis, run_time);
-        let reserve = admission::reserve_cpu_millis(total_cpu_millis, self.is_most_urgent(route));
+        let Capacity { free_cpu_millis, total_cpu_millis, released_cpu_millis_per_s } =
+            self.service_capacity(now, route, run_time);
+        let reserve = if self.is_most_urgent(route) {
+            0
+        } else {
+            self.urgent_reserve_cpu_millis(&route.service, total_cpu_millis)
+        };
         let queue = self.queue_lengths(route);
         let max_late_cpu_millis = if self.had_spare_capacity(now, &route.service, max_late_wait) {
             self.late_limit.cpu_millis(total_cpu_millis)
@@ -73,7 +66,7 @@
         Supply {
             free_cpu_millis: free_cpu_millis.saturating_sub(reserve),
             queued_cpu_millis: queue.same_route_cpu_millis,
-            released_cpu_millis_per_s: released,
+            released_cpu_millis_per_s,
             route_share: self.demands.share(&route.name),
             waiting_cpu_millis: queue.cpu_millis,
             late_cpu_millis: queue.late_cpu_millis,
@@ -81,6 +74,33 @@
         }
     }
 
+    /// Returns the capacity of a route's service for this entry, whose tasks take `run_time`.
+    pub(super) fn service_capacity(
+        &self,
+        now: BootTime,
+        route: &Route,
+        run_time: Duration,
+    ) -> Capacity {
+        let mut free_cpu_millis = 0;
+        let mut total_cpu_millis = 0;
+        for agent in self.available_targets(now, route) {
+            free_cpu_millis += agent.free().cpu_millis;
+            total_cpu_millis += agent.profile.total.cpu_millis;
+        }
+        let busy_cpu_millis = total_cpu_millis - free_cpu_millis.min(total_cpu_millis);
+        let released_cpu_millis_per_s = self.released_cpu_millis_per_s(busy_cpu_millis, run_time);
+        Capacity { free_cpu_millis, total_cpu_millis, released_cpu_millis_per_s }
+    }
+
+    /// Returns the CPU that all waiting tasks need, in thousandths of a core.
+    pub(super) fn waiting_cpu_millis(&self) -> u64 {
+        let jobs = self
+            .waiting
+            .iter()
+            .filter_map(|task| self.jobs.get(&task.key.job).map(|job| job.cpu_millis(&task.key)));
+        jobs.sum()
+    }
+
     /// Records which services have room for late jobs now.
     pub(super) fn record_spare_capacity(&mut self, now: BootTime) {
         let mut services: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
@@ -89,8 +109,8 @@
             *free += agent.free().cpu_millis;
             *total += agent.profile.total.cpu_millis;
         }
-        let spare = services.into_iter().filter(|(_, (free, total))| {
-            let reserve = admission::reserve_cpu_millis(*total, false);
+        let spare = services.into_iter().filter(|(service, (free, total))| {
+            let reserve = self.urgent_reserve_cpu_millis(service, *total);
             *free >= reserve * SPARE_RESERVES
         });
         let spare: Vec<ServiceName> = spare.map(|(service, _)| service.to_owned()).collect();
@@ -160,6 +180,17 @@
     }
 }
 
+/// Capacity of a service at the targets in use, in thousandths of a core.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Capacity {
+    /// Free CPU, the reserve included.
+    pub free_cpu_millis: u64,
+    /// All CPU.
+    pub total_cpu_millis: u64,
+    /// CPU that ending runs release for this entry per second.
+    pub released_cpu_millis_per_s: f64,
+}
+
 /// CPU that waiting tasks need, in thousandths of a core.
 #[derive(Clone, Copy, Debug, Default)]
 struct QueueLengths {
--- a/crates/bulrushlatch_dispatch/tests/load/fleet.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/fleet.rs
@@ -237,6 +237,11 @@
         self.run(Duration::from_secs(3), 0.0);
     }
 
+    /// Switches the shortage policy of all entries on or off.
+    pub fn set_shortage_policy(&mut self, is_enabled: bool) {
+        self.entries.iter_mut().for_each(|entry| entry.set_shortage_policy(is_enabled));
+    }
+
     /// Takes every `n`th target away: it accepts no new tasks.
     pub fn remove_every(&mut self, n: usize) {
         self.targets.iter_mut().step_by(n).for_each(|target| target.is_gone = true);
--- a/crates/bulrushlatch_dispatch/tests/load/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/main.rs
@@ -7,6 +7,7 @@
 mod overload;
 mod processor;
 mod restart;
+mod shortage;
 mod site;
 #[path = "../support/mod.rs"]
 mod support;
--- a/crates/bulrushlatch_dispatch/tests/load/site.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/site.rs
@@ -235,6 +235,11 @@
     }
 }
 
+/// Seed of the entry's random choices.
+const SEED: u64 = 3;
+/// Every how many jobs of a kind one is large.
+const LARGE_JOB_INTERVAL: u64 = 10;
+
 pub struct Site {
     pub entry: Entry,
     pub targets: Vec<SimulatedTarget>,
@@ -242,9 +247,13 @@
     pub kinds: Vec<JobKind>,
     /// Jobs to submit, with fractions, by kind.
     pub due_jobs: Vec<f64>,
-    /// Kind and submission time of each open job.
-    open: BTreeMap<CallerId, (usize, BootTime)>,
+    /// Kind and submission time of each open job, and whether it is a large one.
+    open: BTreeMap<CallerId, (usize, BootTime, bool)>,
     pub tallies: Vec<Tally>,
+    /// Factor on the number of tasks of every tenth job of a kind.
+    pub large_job_factor: u32,
+    /// Results of these jobs, by kind; `tallies` includes them.
+    pub large_tallies: Vec<Tally>,
     pub last_caller: CallerId,
     /// Ratios of callers' estimates to real run times, used in turn.
     pub estimate_factors: Vec<f64>,
@@ -252,14 +261,20 @@
 
 impl Site {
     pub fn new(targets: usize, kinds: &[JobKind]) -> Self {
+        Self::with_seed(targets, kinds, SEED)
+    }
+
+    pub fn with_seed(targets: usize, kinds: &[JobKind], seed: u64) -> Self {
         let mut site = Self {
-            entry: new_entry(kinds),
+            entry: new_entry(kinds, seed),
             targets: (0..targets).map(SimulatedTarget::new).collect(),
             now: BOOT,
             kinds: kinds.to_vec(),
             due_jobs: vec![0.0; kinds.len()],
             open: BTreeMap::new(),
             tallies: vec![Tally::default(); kinds.len()],
+            large_job_factor: 1,
+            large_tallies: vec![Tally::default(); kinds.len()],
             last_caller: 0,
             estimate_factors: vec![1.0],
         };
@@ -279,7 +294,7 @@
     /// Replaces the entry and all targets by new ones without links; open jobs are lost, and the
     /// tallies begin anew.
     pub fn lose_power(&mut self) {
-        self.entry = new_entry(&self.kinds);
+        self.entry = new_entry(&self.kinds, SEED);
         self.targets = (0..self.targets.len()).map(SimulatedTarget::new).collect();
         self.open.clear();
         self.tallies = vec![Tally::default(); self.kinds.len()];
@@ -315,7 +330,9 @@
         let (caller, job_kind) = (self.last_caller, self.kinds[kind]);
         let factor = self.estimate_factors[caller as usize % self.estimate_factors.len()];
         let estimate = ms(job_kind.run_ms).mul_f64(factor);
-        let request = job(&format!("job-{caller}"), job_kind.tasks, TASK_CPU_MILLIS, estimate);
+        let is_large = self.tallies[kind].arrived.is_multiple_of(LARGE_JOB_INTERVAL);
+        let tasks = job_kind.tasks * if is_large { self.large_job_factor } else { 1 };
+        let request = job(&format!("job-{caller}"), tasks, TASK_CPU_MILLIS, estimate);
         let submission = Submission {
             caller,
             route: Arc::new(route_of(&job_kind)),
@@ -323,7 +340,8 @@
             remaining_time: Some(ms(12_000)),
         };
         self.tallies[kind].arrived += 1;
-        self.open.insert(caller, (kind, self.now));
+        self.large_tallies[kind].arrived += u64::from(is_large);
+        self.open.insert(caller, (kind, self.now, is_large));
         self.entry.submit(self.now, submission);
         self.collect();
     }
@@ -353,10 +371,10 @@
             }
         }
         for (caller, answer) in self.entry.take_answers() {
-            let Some((kind, since)) = self.open.remove(&caller) else { continue };
+            let Some((kind, since, is_large)) = self.open.remove(&caller) else { continue };
             let took = self.now - since;
             let objective = route_of(&self.kinds[kind]).objective(ms(self.kinds[kind].run_ms));
-            let tally = &mut self.tallies[kind];
+            let mut tally = Tally::default();
             match answer {
                 Answer::Completed if took <= objective => tally.in_time += 1,
                 Answer::Refused { .. } => {
@@ -369,12 +387,16 @@
                 }
                 _ => tally.late_or_failed += 1,
             }
+            self.tallies[kind] = self.tallies[kind].plus(&tally);
+            if is_large {
+                self.large_tallies[kind] = self.large_tallies[kind].plus(&tally);
+            }
         }
     }
 
     pub fn kind_of(&self, job: &str) -> JobKind {
         let caller = job.trim_start_matches("job-").parse().unwrap_or_default();
-        self.open.get(&caller).map_or(self.kinds[0], |(kind, _)| self.kinds[*kind])
+        self.open.get(&caller).map_or(self.kinds[0], |(kind, ..)| self.kinds[*kind])
     }
 
     pub fn tally(&self, kind: JobKind) -> Tally {
@@ -383,8 +405,8 @@
     }
 }
 
-fn new_entry(kinds: &[JobKind]) -> Entry {
-    let mut entry = Entry::new(timing(), "a".to_owned(), 3);
+fn new_entry(kinds: &[JobKind], seed: u64) -> Entry {
+    let mut entry = Entry::new(timing(), "a".to_owned(), seed);
     let routes = kinds.iter().map(route_of).collect();
     entry.configure(RoutingTable::new(1, routes, None));
     entry
--- a/crates/bulrushlatch_node/src/entry/flags.rs
+++ b/crates/bulrushlatch_node/src/entry/flags.rs
@@ -38,6 +38,9 @@
         optional --link-mbps rate: String
         /// Refusal of a part of the jobs while the processor is too busy: on or off (default on)
         optional --overload-control switch: String
+        /// Refusal of waiting jobs that cannot start in time, and a reserve for urgent jobs that follows
+        /// their demand: on or off (default off)
+        optional --shortage-policy switch: String
         /// Time between SIGTERM and SIGKILL, in s (default 6)
         optional --grace-s seconds: String
         /// Format of log lines: text or json (default json)
@@ -65,6 +68,7 @@
     pub longest_lease_ms: Option<String>,
     pub link_mbps: Option<String>,
     pub overload_control: Option<String>,
+    pub shortage_policy: Option<String>,
     pub grace_s: Option<String>,
     pub log_format: Option<String>,
     pub log_level: Option<String>,
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -142,6 +142,7 @@
         let id = ProcessId { name: common.name.clone(), incarnation: fastrand::u64(1..) };
         let mut core = Entry::new(common.timing, common.zone.clone(), fastrand::u64(..));
         core.set_overload_control(settings.overload_control == Switch::On);
+        core.set_shortage_policy(settings.shortage_policy == Switch::On);
         Self {
             id,
             clock: SystemBootClock,
@@ -285,6 +286,16 @@
                     counters.refused_by_processor,
                 ),
                 ("late_refusals", "Jobs refused after they had waited", counters.late_refusals),
+                (
+                    "refused_while_waiting",
+                    "Waiting jobs refused because they could not start in time",
+                    counters.refused_while_waiting,
+                ),
+                (
+                    "displaced_jobs",
+                    "Waiting jobs refused in favor of more urgent ones",
+                    counters.displaced,
+                ),
                 ("interrupted_jobs", "Jobs given up that may have run", counters.interrupted),
                 ("abandoned_jobs", "Jobs whose callers had gone", counters.abandoned),
                 ("start_orders", "Start orders sent", counters.start_orders),
@@ -301,6 +312,7 @@
         );
         let overload_refusal_percent = (core.overload().fraction() * 100.0) as u64;
         let queueing_delay_us = core.processor_load().queueing_delay().as_micros() as u64;
+        let reserve_cpu_millis = core.largest_reserve_cpu_millis(self.clock.now());
         let busy_percent = (core.processor_load().busy_share() * 100.0) as u64;
         metrics::add_gauges(
             &mut registry,
@@ -316,6 +328,11 @@
                     "Time that an event waits for the process's thread",
                     queueing_delay_us,
                 ),
+                (
+                    "reserve_cpu_millis",
+                    "CPU left to the most urgent routes of a service",
+                    reserve_cpu_millis,
+                ),
                 ("open_jobs", "Jobs being worked on", core.open_jobs() as u64),
                 ("waiting_tasks", "Tasks that wait for room", core.waiting_tasks() as u64),
                 ("version", "Configuration in force", core.version().unwrap_or_default()),
--- a/crates/bulrushlatch_node/src/settings.rs
+++ b/crates/bulrushlatch_node/src/settings.rs
@@ -72,6 +72,9 @@
     pub store_read_rate: Option<ReadRate>,
     /// Whether a part of the jobs is refused while the processor is too busy.
     pub overload_control: Switch,
+    /// Whether waiting jobs that cannot start in time are refused, and the reserve for urgent jobs
+    /// follows their demand.
+    pub shortage_policy: Switch,
 }
 
 /// Settings of an agent.
@@ -181,6 +184,8 @@
         let store_read_rate = read_store_rate(&mut reader, flags.link_mbps);
         let overload_control =
             reader.optional("overload-control", flags.overload_control, Switch::On);
+        let shortage_policy =
+            reader.optional("shortage-policy", flags.shortage_policy, Switch::Off);
         let common = read_common(&mut reader, common_flags!(flags));
         reader.finish(Self {
             common,
@@ -190,6 +195,7 @@
             link_address,
             store_read_rate,
             overload_control,
+            shortage_policy,
         })
     }
 }
