Overload control: readiness by the average delay, load measured during shutdown

Cause: one pause of the VM could make a busy entry not ready for a tick, and the control kept the state that it had at SIGTERM while the entry still accepted jobs for half of the grace period. Each submission was looked up among the open jobs even while nothing can be refused.

Change: readiness follows the moving average of 200 ms; busy_time.rs has a timer of periods that the shutdown loop uses too; the lookup is made only while the control may refuse.

--- a/crates/bulrushlatch_dispatch/src/entry/overload.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/overload.rs
@@ -78,6 +78,8 @@
     is_busy: bool,
     /// Present queueing delay.
     queueing_delay: Duration,
+    /// Moving average of it, which a single pause of the VM changes little.
+    average_delay: Duration,
     routes: BTreeMap<RouteName, RouteSlack>,
 }
 
@@ -96,6 +98,7 @@
             is_active: false,
             is_busy: false,
             queueing_delay: Duration::ZERO,
+            average_delay: Duration::ZERO,
             routes: BTreeMap::new(),
         }
     }
@@ -120,6 +123,7 @@
     /// Adapts the fraction to the load of the last `elapsed`. To be called once a tick.
     pub fn update(&mut self, elapsed: Duration, load: &ProcessorLoad) {
         self.queueing_delay = load.recent_queueing_delay();
+        self.average_delay = load.queueing_delay();
         self.is_busy = load.busy_share() >= MIN_BUSY_SHARE;
         for slack in self.routes.values_mut() {
             slack.idle = slack.idle.saturating_add(elapsed);
@@ -135,6 +139,11 @@
         self.log_activity();
     }
 
+    /// Returns whether any job may be refused at present.
+    pub fn may_refuse(&self) -> bool {
+        if self.is_enabled { self.is_busy } else { self.queueing_delay > MAX_TARGET_DELAY }
+    }
+
     /// Returns whether to refuse an arriving job of a route.
     ///
     /// The route of the least tolerant jobs is refused in the control's fraction, others in
@@ -156,11 +165,11 @@
     /// Returns whether even the most tolerant jobs would be late, so that none should arrive.
     pub fn is_exhausted(&self) -> bool {
         if !self.is_enabled {
-            return self.queueing_delay > MAX_TARGET_DELAY;
+            return self.average_delay > MAX_TARGET_DELAY;
         }
         let targets = self.recent_target_delays();
         let longest = targets.max().unwrap_or(MAX_TARGET_DELAY);
-        self.is_busy && self.ratio_to(longest) >= 1.0 / SLACK_SHARE
+        self.is_busy && self.average_delay >= longest.div_f64(SLACK_SHARE)
     }
 
     /// Returns the range of the random part of a refused job's retry delay: what is refused in a
@@ -228,6 +237,9 @@
     ///
     /// A job that is open here or has ended here is not refused: it may have run.
     pub fn refuse_for_overload(&mut self, route: &Route, job: &str) -> Option<Duration> {
+        if !self.overload.may_refuse() {
+            return None;
+        }
         let is_known = self.jobs.contains_key(job) || self.answer_cache.get(job).is_some();
         if is_known || !self.overload.refuses(&route.name) {
             return None;
--- a/crates/bulrushlatch_node/src/busy_time.rs
+++ b/crates/bulrushlatch_node/src/busy_time.rs
@@ -38,3 +38,27 @@
     let current = if woken_at.is_zero() { Duration::ZERO } else { now.saturating_sub(woken_at) };
     Duration::from_nanos(BUSY_NS.load(Ordering::Relaxed)) + current
 }
+
+/// Measures the busy time of consecutive periods.
+#[derive(Debug)]
+pub struct BusyTimer {
+    period_began_at: BootTime,
+    /// Busy time up to the beginning of the period.
+    busy_before: Duration,
+}
+
+impl BusyTimer {
+    /// Begins the first period.
+    pub fn start(now: BootTime) -> Self {
+        Self { period_began_at: now, busy_before: busy_time(now) }
+    }
+
+    /// Ends a period and begins the next one; returns its length and the busy time in it.
+    pub fn end_period(&mut self, now: BootTime) -> (Duration, Duration) {
+        let busy_until_now = busy_time(now);
+        let elapsed = now.saturating_sub(self.period_began_at);
+        let busy = busy_until_now.saturating_sub(self.busy_before);
+        (self.period_began_at, self.busy_before) = (now, busy_until_now);
+        (elapsed, busy)
+    }
+}
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -42,7 +42,8 @@
 use self::encoded_configuration::EncodedConfiguration;
 use crate::{
     boot_clock::SystemBootClock,
-    busy_time, http_server,
+    busy_time::BusyTimer,
+    http_server,
     interface::{CallerInterface, KeyedRecord, SiteStore, Stream},
     link::{Frame, LinkSender},
     link_manager::{LinkManager, maintain_links},
@@ -206,24 +207,22 @@
     }
 
     async fn tick_until(&self, token: &CancellationToken) {
-        let mut measured_at = self.clock.now();
-        let mut busy_until_then = busy_time::busy_time(measured_at);
+        let mut timer = BusyTimer::start(self.clock.now());
         while !token.is_cancelled() {
             self.with_core(|core, now| core.tick(now));
             self.check_store_contact();
             tokio::time::sleep(TICK_INTERVAL).await;
-            let now = self.clock.now();
-            let queueing_delay = self.queue_probe.delay(now);
-            let elapsed = now.saturating_sub(measured_at);
-            let busy = busy_time::busy_time(now);
-            self.with_core(|core, _| {
-                let busy = busy.saturating_sub(busy_until_then);
-                core.record_processor_load(elapsed, busy, queueing_delay);
-            });
-            (measured_at, busy_until_then) = (now, busy);
+            self.record_processor_load(&mut timer);
         }
     }
 
+    fn record_processor_load(&self, timer: &mut BusyTimer) {
+        let now = self.clock.now();
+        let (elapsed, busy) = timer.end_period(now);
+        let queueing_delay = self.queue_probe.delay(now);
+        self.with_core(|core, _| core.record_processor_load(elapsed, busy, queueing_delay));
+    }
+
     async fn shut_down(&self) {
         let grace = self.settings.common.grace;
         let started_at = self.clock.now();
@@ -238,6 +237,7 @@
                 tracing::info!(fault = %error, "own address not removed from the store");
             }
         });
+        let mut timer = BusyTimer::start(started_at);
         loop {
             let now = self.clock.now();
             if now >= serve_until {
@@ -249,6 +249,7 @@
                 break;
             }
             tokio::time::sleep(TICK_INTERVAL).await;
+            self.record_processor_load(&mut timer);
         }
         let open_jobs = self.core.borrow().open_jobs();
         self.with_core(|core, now| core.give_up_open_jobs(now));
