--- a/crates/bulrushlatch_dispatch/src/entry/overload.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/overload.rs
@@ -36,8 +36,11 @@
 /// Largest part of the jobs that is refused: some must be accepted for the delay to be measured on
 /// real work.
 const MAX_FRACTION: f64 = 0.95;
-/// Fraction below which the control has stopped.
-const STOP_FRACTION: f64 = 0.01;
+/// Fraction from which on a log line says that refusals have started.
+const START_FRACTION: f64 = 0.01;
+/// Time without refusals after which a log line says that they have stopped: near full load the
+/// fraction returns to zero several times a second.
+const STOP_DELAY: Duration = Duration::from_secs(1);
 /// Weight of a new job in the moving average of a route's slack.
 const SLACK_WEIGHT: f64 = 0.1;
 /// Time without a job after which a route no longer determines the target.
@@ -72,8 +75,10 @@
     is_enabled: bool,
     /// Part of the jobs to refuse, from 0 to [`MAX_FRACTION`].
     fraction: f64,
-    /// Whether jobs are being refused.
+    /// Whether jobs are being refused, as logged.
     is_active: bool,
+    /// Time since the fraction was above zero.
+    quiet_time: Duration,
     /// Whether the thread is so busy that jobs may be refused.
     is_busy: bool,
     /// Present queueing delay.
@@ -96,6 +101,7 @@
             is_enabled,
             fraction: 0.0,
             is_active: false,
+            quiet_time: Duration::ZERO,
             is_busy: false,
             queueing_delay: Duration::ZERO,
             average_delay: Duration::ZERO,
@@ -136,6 +142,8 @@
             -IDLE_FALL_PER_S
         };
         self.fraction = (self.fraction + change * seconds).clamp(0.0, MAX_FRACTION);
+        let is_quiet = self.fraction <= 0.0;
+        self.quiet_time = if is_quiet { self.quiet_time + elapsed } else { Duration::ZERO };
         self.log_activity();
     }
 
@@ -204,9 +212,9 @@
     /// Logs when refusals start and stop.
     fn log_activity(&mut self) {
         let is_active = if self.is_active {
-            self.fraction > 0.0
+            self.quiet_time < STOP_DELAY
         } else {
-            self.is_enabled && self.fraction >= STOP_FRACTION
+            self.is_enabled && self.fraction >= START_FRACTION
         };
         if is_active == self.is_active {
             return;
--- a/crates/bulrushlatch_dispatch/tests/load/overload.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/overload.rs
@@ -12,7 +12,7 @@
 
 /// Returns the sum of the tallies of all kinds of job.
 pub fn total(site: &Site) -> Tally {
-    site.tallies.iter().fold(Tally::default(), |sum, tally| sum.plus(tally))
+    Tally::sum(&site.tallies)
 }
 
 /// Jobs that a short burst makes late are served with the capacity that is left after it.
--- a/crates/bulrushlatch_dispatch/tests/load/processor.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/processor.rs
@@ -1,11 +1,10 @@
 //! Lack of processor time at an entry: its thread as a queue of events on a virtual clock.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{collections::VecDeque, time::Duration};
 
 use bulrushlatch_dispatch::{
     clock::BootTime,
     entry::{job_times::JobTimes, overload::OverloadControl, processor_load::ProcessorLoad},
-    ids::RouteName,
 };
 
 use super::{
@@ -170,41 +169,36 @@
     }
 
     fn is_refused(&mut self, kind: usize) -> bool {
-        let route = route_of(&MIX[kind].0);
-        let name: RouteName = Arc::clone(&route.name);
-        if self.control.refuses(&name) {
-            return true;
+        let route = route_of(&MIX[kind].0).name;
+        let is_refused = self.control.refuses(&route);
+        if !is_refused {
+            self.control.record_job(&route, times(kind).max_wait());
         }
-        let critical_path = ms(MIX[kind].0.run_ms);
-        let times = JobTimes::new(critical_path, route.objective(critical_path));
-        self.control.record_job(&name, times.max_wait());
-        false
+        is_refused
     }
 
     fn tally_answer(&mut self, kind: usize, took: Duration) {
-        let critical_path = ms(MIX[kind].0.run_ms);
-        let objective = route_of(&MIX[kind].0).objective(critical_path);
-        if took <= objective {
-            self.tallies[kind].in_time += 1;
-        } else {
-            self.tallies[kind].late += 1;
-        }
+        let is_in_time = took <= times(kind).objective;
+        self.tallies[kind].in_time += u64::from(is_in_time);
+        self.tallies[kind].late += u64::from(!is_in_time);
     }
 
     fn total(&self) -> Tally {
-        self.tallies.iter().fold(Tally::default(), |sum, tally| sum.plus(tally))
+        Tally::sum(&self.tallies)
     }
 }
 
+fn times(kind: usize) -> JobTimes {
+    let critical_path = ms(MIX[kind].0.run_ms);
+    JobTimes::new(critical_path, route_of(&MIX[kind].0).objective(critical_path))
+}
+
 fn played(is_enabled: bool, measure: Measure, load_factor: f64) -> Processor {
     let mut processor = Processor::new(is_enabled, measure);
     processor.run(ms(2_000), 0.6);
     processor.run(ms(15_000), load_factor);
     processor.run(ms(6_000), 0.0);
-    println!(
-        "on {is_enabled}, load {load_factor}: {:?}, longest refusal {:?}",
-        processor.tallies, processor.longest_refusal
-    );
+    println!("on {is_enabled}, load {load_factor}: {:?}", processor.tallies);
     processor
 }
 
--- a/crates/bulrushlatch_dispatch/tests/load/shortage.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/shortage.rs
@@ -36,26 +36,17 @@
     let long = site.kinds.iter().position(|kind| kind.name == PHOTO.name).expect("long jobs");
     site.run(ms(3_000), LOAD);
     site.drain();
-    reset(&mut site);
+    site.reset_tallies();
     site.run(ms(1_000), LOAD);
     site.kinds[long].per_s *= BURST;
     site.run(ms(6_000), load);
     site.kinds[long].per_s /= BURST;
     site.run(ms(1_000), LOAD);
     let (tallies, large) = (site.tallies.clone(), site.large_tallies.clone());
-    reset(&mut site);
+    site.reset_tallies();
     site.run(ms(3_000), LOAD);
     site.drain();
-    Outcome { tallies, large, after: sum(&site.tallies) }
-}
-
-fn reset(site: &mut Site) {
-    site.tallies.fill(Tally::default());
-    site.large_tallies.fill(Tally::default());
-}
-
-fn sum(tallies: &[Tally]) -> Tally {
-    tallies.iter().fold(Tally::default(), |sum, tally| sum.plus(tally))
+    Outcome { tallies, large, after: Tally::sum(&site.tallies) }
 }
 
 fn summed_bursts(shortage_policy: bool, load: f64) -> Outcome {
@@ -70,26 +61,32 @@
     println!("load {load}, policy {shortage_policy}, afterwards {:?}", total.after);
     for ((kind, tally), large) in ALL.iter().zip(&total.tallies).zip(&total.large) {
         let share = large.served_share();
-        println!("  {}: {:.3} in time, {tally:?}, large {share:.3}", kind.name, in_time(tally));
+        println!(
+            "  {}: {:.3} in time, {tally:?}, large {share:.3}",
+            kind.name,
+            tally.in_time_share()
+        );
     }
     total
 }
 
-fn in_time(tally: &Tally) -> f64 {
-    tally.in_time_share()
-}
-
 /// A reserve of 6% was left empty while long and common jobs were refused.
 #[test]
 fn burst_of_long_jobs_leaves_less_capacity_unused() {
     for load in BURST_LOADS {
         let (on, off) = (summed_bursts(true, load), summed_bursts(false, load));
         let urgent = ALL.iter().position(|kind| kind.name == PRICE_CHECK.name).expect("urgent");
-        assert!(in_time(&on.tallies[urgent]) > in_time(&off.tallies[urgent]) - 0.015);
-        assert!(in_time(&sum(&on.tallies)) > in_time(&sum(&off.tallies)) + 0.01);
+        assert!(on.tallies[urgent].in_time_share() > off.tallies[urgent].in_time_share() - 0.015);
+        assert!(
+            Tally::sum(&on.tallies).in_time_share()
+                > Tally::sum(&off.tallies).in_time_share() + 0.01
+        );
         assert!(on.after.refused <= off.after.refused + 5, "{:?}", on.after);
         for (tally, large) in on.tallies.iter().zip(&on.large) {
-            assert!(tally.served_share() > sum(&on.tallies).served_share() / 2.0, "{tally:?}");
+            assert!(
+                tally.served_share() > Tally::sum(&on.tallies).served_share() / 2.0,
+                "{tally:?}"
+            );
             assert!(large.served_share() > tally.served_share() / 2.0, "{large:?} of {tally:?}");
         }
     }
@@ -109,11 +106,12 @@
     };
     let bursts = |shortage_policy| {
         let tallies = [1_000, 1_080, 1_160].map(|start_ms| burst(shortage_policy, start_ms));
-        let [urgent, common, long] = [0, 1, 2].map(|kind| sum(&tallies.map(|tally| tally[kind])));
+        let [urgent, common, long] =
+            [0, 1, 2].map(|kind| Tally::sum(&tallies.map(|tally| tally[kind])));
         println!("policy {shortage_policy}: {urgent:?}, {common:?}, {long:?}");
         (urgent, long)
     };
     let ((urgent_on, long_on), (urgent_off, long_off)) = (bursts(true), bursts(false));
-    assert!(in_time(&urgent_on) > in_time(&urgent_off) + 0.03);
-    assert!(in_time(&long_on) > in_time(&long_off) - 0.03);
+    assert!(urgent_on.in_time_share() > urgent_off.in_time_share() + 0.03);
+    assert!(long_on.in_time_share() > long_off.in_time_share() - 0.03);
 }
--- a/crates/bulrushlatch_dispatch/tests/load/site.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/site.rs
@@ -230,6 +230,10 @@
         }
     }
 
+    pub fn sum(tallies: &[Self]) -> Self {
+        tallies.iter().fold(Self::default(), |sum, tally| sum.plus(tally))
+    }
+
     pub fn served_share(&self) -> f64 {
         (self.in_time + self.late) as f64 / self.arrived.max(1) as f64
     }
@@ -300,6 +304,11 @@
         self.tallies = vec![Tally::default(); self.kinds.len()];
     }
 
+    pub fn reset_tallies(&mut self) {
+        self.tallies.fill(Tally::default());
+        self.large_tallies.fill(Tally::default());
+    }
+
     /// Advances the clock by `length` under `load_factor` times the nominal load.
     pub fn run(&mut self, length: Duration, load_factor: f64) {
         let end = self.now + length;
