--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -4,6 +4,9 @@
 //! - [`admission`]: accepts or refuses a job when it arrives
 //! - `supply`: the capacity that arriving jobs can expect
 //! - [`late_limit`]: how much work may wait that will be late
+//! - [`shortage`]: refuses waiting jobs that cannot start in time
+//! - [`served_shares`]: how often each route and size of job is served
+//! - [`reserve`]: capacity that is left to the most urgent routes
 //! - [`waiting`]: order in which waiting tasks are placed
 //! - `dispatch`: places waiting tasks and stops stuck runs
 //! - `completion`: handles ended runs and ends jobs
@@ -41,8 +44,11 @@
 pub mod placement;
 pub mod processor_load;
 pub mod rates;
+pub mod reserve;
 pub mod run_times;
+pub mod served_shares;
 pub mod service_numbers;
+mod shortage;
 pub mod stamps;
 mod submission;
 pub mod subset;
@@ -68,7 +74,8 @@
     agent_view::AgentView, answer_cache::AnswerCache, delegation::Delegation,
     demand::DemandExchange, job_state::JobState, late_limit::LateLimit, offered_load::OfferedLoad,
     overload::OverloadControl, processor_load::ProcessorLoad, rates::RouteDemands,
-    run_times::RunTimes, service_numbers::ServiceNumbers, waiting::WaitingQueue,
+    reserve::UrgentDemand, run_times::RunTimes, served_shares::ServedShares,
+    service_numbers::ServiceNumbers, waiting::WaitingQueue,
 };
 
 /// Shortest interval between checks of all agents for due heartbeats: short against the interval of
@@ -117,6 +124,12 @@
     is_shutting_down: bool,
     processor_load: ProcessorLoad,
     overload: OverloadControl,
+    /// Whether waiting jobs are looked at again each tick, and the reserve follows the demand.
+    shortage_policy: bool,
+    /// How often the routes of each service are served.
+    served_shares: BTreeMap<ServiceName, ServedShares>,
+    /// Demand of the most urgent routes of each service.
+    urgent_demands: BTreeMap<ServiceName, UrgentDemand>,
     /// When each service last had room for late jobs.
     spare_seen_at: BTreeMap<ServiceName, BootTime>,
     /// Time of the first event.
@@ -160,6 +173,9 @@
             is_shutting_down: false,
             processor_load: ProcessorLoad::default(),
             overload: OverloadControl::default(),
+            shortage_policy: false,
+            served_shares: BTreeMap::new(),
+            urgent_demands: BTreeMap::new(),
             spare_seen_at: BTreeMap::new(),
             started_at: BootTime::ZERO,
             last_event_at: BootTime::ZERO,
@@ -334,8 +350,10 @@
         }
         self.update_demand(now);
         self.stop_stuck_runs(now);
+        self.update_reserves(now);
         self.record_spare_capacity(now);
         self.end_hopeless_jobs(now);
+        self.refuse_unserveable_jobs(now);
         self.place_waiting_tasks(now);
         self.tick_delegation(now);
     }
--- a/crates/bulrushlatch_dispatch/src/entry/overload.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/overload.rs
@@ -36,8 +36,11 @@
 /// Largest part of the jobs that is refused: some must be accepted for the delay to be measured on
 /// real work.
 const MAX_FRACTION: f64 = 0.95;
-/// Fraction below which the control has stopped.
-const STOP_FRACTION: f64 = 0.01;
+/// Fraction from which on a log line says that refusals have started.
+const START_FRACTION: f64 = 0.01;
+/// Time without refusals after which a log line says that they have stopped: near full load the
+/// fraction returns to zero several times a second.
+const STOP_DELAY: Duration = Duration::from_secs(1);
 /// Weight of a new job in the moving average of a route's slack.
 const SLACK_WEIGHT: f64 = 0.1;
 /// Time without a job after which a route no longer determines the target.
@@ -72,12 +75,16 @@
     is_enabled: bool,
     /// Part of the jobs to refuse, from 0 to [`MAX_FRACTION`].
     fraction: f64,
-    /// Whether jobs are being refused.
+    /// Whether jobs are being refused, as logged.
     is_active: bool,
+    /// Time since the fraction was above zero.
+    quiet_time: Duration,
     /// Whether the thread is so busy that jobs may be refused.
     is_busy: bool,
     /// Present queueing delay.
     queueing_delay: Duration,
+    /// Moving average of it, which a single pause of the VM changes little.
+    average_delay: Duration,
     routes: BTreeMap<RouteName, RouteSlack>,
 }
 
@@ -94,8 +101,10 @@
             is_enabled,
             fraction: 0.0,
             is_active: false,
+            quiet_time: Duration::ZERO,
             is_busy: false,
             queueing_delay: Duration::ZERO,
+            average_delay: Duration::ZERO,
             routes: BTreeMap::new(),
         }
     }
@@ -120,6 +129,7 @@
     /// Adapts the fraction to the load of the last `elapsed`. To be called once a tick.
     pub fn update(&mut self, elapsed: Duration, load: &ProcessorLoad) {
         self.queueing_delay = load.recent_queueing_delay();
+        self.average_delay = load.queueing_delay();
         self.is_busy = load.busy_share() >= MIN_BUSY_SHARE;
         for slack in self.routes.values_mut() {
             slack.idle = slack.idle.saturating_add(elapsed);
@@ -132,9 +142,16 @@
             -IDLE_FALL_PER_S
         };
         self.fraction = (self.fraction + change * seconds).clamp(0.0, MAX_FRACTION);
+        let is_quiet = self.fraction <= 0.0;
+        self.quiet_time = if is_quiet { self.quiet_time + elapsed } else { Duration::ZERO };
         self.log_activity();
     }
 
+    /// Returns whether any job may be refused at present.
+    pub fn may_refuse(&self) -> bool {
+        if self.is_enabled { self.is_busy } else { self.queueing_delay > MAX_TARGET_DELAY }
+    }
+
     /// Returns whether to refuse an arriving job of a route.
     ///
     /// The route of the least tolerant jobs is refused in the control's fraction, others in
@@ -156,11 +173,11 @@
     /// Returns whether even the most tolerant jobs would be late, so that none should arrive.
     pub fn is_exhausted(&self) -> bool {
         if !self.is_enabled {
-            return self.queueing_delay > MAX_TARGET_DELAY;
+            return self.average_delay > MAX_TARGET_DELAY;
         }
         let targets = self.recent_target_delays();
         let longest = targets.max().unwrap_or(MAX_TARGET_DELAY);
-        self.is_busy && self.ratio_to(longest) >= 1.0 / SLACK_SHARE
+        self.is_busy && self.average_delay >= longest.div_f64(SLACK_SHARE)
     }
 
     /// Returns the range of the random part of a refused job's retry delay: what is refused in a
@@ -195,9 +212,9 @@
     /// Logs when refusals start and stop.
     fn log_activity(&mut self) {
         let is_active = if self.is_active {
-            self.fraction > 0.0
+            self.quiet_time < STOP_DELAY
         } else {
-            self.is_enabled && self.fraction >= STOP_FRACTION
+            self.is_enabled && self.fraction >= START_FRACTION
         };
         if is_active == self.is_active {
             return;
@@ -228,6 +245,9 @@
     ///
     /// A job that is open here or has ended here is not refused: it may have run.
     pub fn refuse_for_overload(&mut self, route: &Route, job: &str) -> Option<Duration> {
+        if !self.overload.may_refuse() {
+            return None;
+        }
         let is_known = self.jobs.contains_key(job) || self.answer_cache.get(job).is_some();
         if is_known || !self.overload.refuses(&route.name) {
             return None;
--- a/crates/bulrushlatch_dispatch/src/entry/waiting.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/waiting.rs
@@ -63,6 +63,11 @@
 }
 
 impl WaitingQueue {
+    /// Returns the CPU that all tasks need, in thousandths of a core.
+    pub fn cpu_millis(&self) -> u64 {
+        self.cpu_millis
+    }
+
     /// Returns the number of tasks.
     pub fn len(&self) -> usize {
         self.tasks.len()
--- a/crates/bulrushlatch_dispatch/tests/load/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/main.rs
@@ -9,6 +9,7 @@
 mod processor_cost;
 mod processor;
 mod restart;
+mod shortage;
 mod site;
 #[path = "../support/mod.rs"]
 mod support;
--- a/crates/bulrushlatch_node/src/entry/flags.rs
+++ b/crates/bulrushlatch_node/src/entry/flags.rs
@@ -45,6 +45,9 @@
         optional --delegation-busy-percent percent: String
         /// Exchange of demand between entries and agents: on or off (default off)
         optional --demand-exchange switch: String
+        /// Refusal of waiting jobs that cannot start in time, and a reserve for urgent jobs that follows
+        /// their demand: on or off (default off)
+        optional --shortage-policy switch: String
         /// Time between SIGTERM and SIGKILL, in s (default 6)
         optional --grace-s seconds: String
         /// Format of log lines: text or json (default json)
@@ -75,6 +78,7 @@
     pub delegation: Option<String>,
     pub delegation_busy_percent: Option<String>,
     pub demand_exchange: Option<String>,
+    pub shortage_policy: Option<String>,
     pub grace_s: Option<String>,
     pub log_format: Option<String>,
     pub log_level: Option<String>,
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -45,7 +45,8 @@
 use self::encoded_configuration::EncodedConfiguration;
 use crate::{
     boot_clock::SystemBootClock,
-    busy_time, http_server,
+    busy_time::BusyTimer,
+    http_server,
     interface::{CallerInterface, KeyedRecord, SiteStore, Stream},
     link::{Frame, LinkSender},
     link_manager::{LinkManager, maintain_links},
@@ -156,6 +157,7 @@
             core.enable_delegation(delegation);
         }
         core.set_demand_exchange(common.demand_exchange);
+        core.set_shortage_policy(settings.shortage_policy == Switch::On);
         Self {
             id,
             clock: SystemBootClock,
@@ -230,24 +232,22 @@
     }
 
     async fn tick_until(&self, token: &CancellationToken) {
-        let mut measured_at = self.clock.now();
-        let mut busy_until_then = busy_time::busy_time(measured_at);
+        let mut timer = BusyTimer::start(self.clock.now());
         while !token.is_cancelled() {
             self.with_core(|core, now| core.tick(now));
             self.check_store_contact();
             tokio::time::sleep(TICK_INTERVAL).await;
-            let now = self.clock.now();
-            let queueing_delay = self.queue_probe.delay(now);
-            let elapsed = now.saturating_sub(measured_at);
-            let busy = busy_time::busy_time(now);
-            self.with_core(|core, _| {
-                let busy = busy.saturating_sub(busy_until_then);
-                core.record_processor_load(elapsed, busy, queueing_delay);
-            });
-            (measured_at, busy_until_then) = (now, busy);
+            self.record_processor_load(&mut timer);
         }
     }
 
+    fn record_processor_load(&self, timer: &mut BusyTimer) {
+        let now = self.clock.now();
+        let (elapsed, busy) = timer.end_period(now);
+        let queueing_delay = self.queue_probe.delay(now);
+        self.with_core(|core, _| core.record_processor_load(elapsed, busy, queueing_delay));
+    }
+
     async fn shut_down(&self) {
         let grace = self.settings.common.grace;
         let started_at = self.clock.now();
@@ -262,6 +262,7 @@
                 tracing::info!(fault = %error, "own address not removed from the store");
             }
         });
+        let mut timer = BusyTimer::start(started_at);
         loop {
             let now = self.clock.now();
             if now >= serve_until {
@@ -273,6 +274,7 @@
                 break;
             }
             tokio::time::sleep(TICK_INTERVAL).await;
+            self.record_processor_load(&mut timer);
         }
         let open_jobs = self.core.borrow().open_jobs();
         self.with_core(|core, now| core.give_up_open_jobs(now));
@@ -314,6 +316,16 @@
                     counters.refused_by_processor,
                 ),
                 ("late_refusals", "Jobs refused after they had waited", counters.late_refusals),
+                (
+                    "refused_while_waiting",
+                    "Waiting jobs refused because they could not start in time",
+                    counters.refused_while_waiting,
+                ),
+                (
+                    "displaced_jobs",
+                    "Waiting jobs refused in favor of more urgent ones",
+                    counters.displaced,
+                ),
                 ("interrupted_jobs", "Jobs given up that may have run", counters.interrupted),
                 ("abandoned_jobs", "Jobs whose callers had gone", counters.abandoned),
                 ("start_orders", "Start orders sent", counters.start_orders),
@@ -352,6 +364,7 @@
         );
         let overload_refusal_percent = (core.overload().fraction() * 100.0) as u64;
         let queueing_delay_us = core.processor_load().queueing_delay().as_micros() as u64;
+        let reserve_cpu_millis = core.largest_reserve_cpu_millis(self.clock.now());
         let busy_percent = (core.processor_load().busy_share() * 100.0) as u64;
         metrics::add_gauges(
             &mut registry,
@@ -373,6 +386,11 @@
                     "Jobs per second that could be taken",
                     core.spare_jobs_per_s(),
                 ),
+                (
+                    "reserve_cpu_millis",
+                    "CPU left to the most urgent routes of a service",
+                    reserve_cpu_millis,
+                ),
                 ("open_jobs", "Jobs being worked on", core.open_jobs() as u64),
                 ("waiting_tasks", "Tasks that wait for room", core.waiting_tasks() as u64),
                 ("version", "Configuration in force", core.version().unwrap_or_default()),
--- a/crates/bulrushlatch_node/src/settings.rs
+++ b/crates/bulrushlatch_node/src/settings.rs
@@ -76,6 +76,9 @@
     pub overload_control: Switch,
     /// Settings of delegation; `None` to neither delegate jobs nor take those of other entries.
     pub delegation: Option<DelegationSettings>,
+    /// Whether waiting jobs that cannot start in time are refused, and the reserve for urgent jobs
+    /// follows their demand.
+    pub shortage_policy: Switch,
 }
 
 /// Settings of an agent.
@@ -215,6 +218,8 @@
             reader.optional("overload-control", flags.overload_control, Switch::On);
         let delegation =
             read_delegation(&mut reader, flags.delegation, flags.delegation_busy_percent);
+        let shortage_policy =
+            reader.optional("shortage-policy", flags.shortage_policy, Switch::Off);
         let common = read_common(&mut reader, common_flags!(flags));
         reader.finish(Self {
             common,
@@ -225,6 +230,7 @@
             store_read_rate,
             overload_control,
             delegation,
+            shortage_policy,
         })
     }
 }
