--- a/crates/bulrushlatch_dispatch/src/entry/delegation/delegate.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/delegate.rs
@@ -19,11 +19,17 @@
     spare_rate::REFUSAL_BUSY_SHARE,
 };
 
+/// Queueing delay above which no job of another entry is taken: frames of origins, which prove that
+/// they live, wait as long, and are due every 40 ms.
+const MAX_QUEUEING_DELAY: Duration = Duration::from_millis(40);
+
 impl Entry {
     /// Returns whether this entry takes jobs of others at present.
     pub(super) fn takes_delegated_jobs(&self) -> bool {
-        let busy_share = self.processor_load.busy_share();
-        !self.is_shutting_down && !self.overload.is_exhausted() && busy_share <= REFUSAL_BUSY_SHARE
+        let load = &self.processor_load;
+        let has_spare_time =
+            load.busy_share() <= REFUSAL_BUSY_SHARE && load.queueing_delay() <= MAX_QUEUEING_DELAY;
+        !self.is_shutting_down && has_spare_time
     }
 
     /// Returns whether to take a job that has arrived with a frame.
