--- a/crates/bulrushlatch_dispatch/src/entry/delegation/delegate.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/delegate.rs
@@ -39,11 +39,12 @@
     }
 
     /// Returns how many more jobs per second this entry could take from others.
-    pub fn spare_jobs_per_s(&self) -> u64 {
+    pub fn spare_jobs_per_s(&self, now: BootTime) -> u64 {
         if !self.delegation.is_enabled || !self.takes_delegated_jobs() {
             return 0;
         }
-        self.delegation.spare_rate.jobs_per_s(self.processor_load.busy_share()).max(0.0) as u64
+        let busy_share = self.processor_load.busy_share();
+        self.delegation.spare_rate.jobs_per_s(now, busy_share).max(0.0) as u64
     }
 
     /// Answers a job of another entry that cannot be submitted here.
@@ -70,7 +71,7 @@
         tracing::info!(
             %job, peer, link, number,
             busy_percent = self.busy_percent(),
-            spare_jobs_per_s = self.spare_jobs_per_s(),
+            spare_jobs_per_s = self.spare_jobs_per_s(now),
             "accepted from another entry"
         );
         if self.end_conflicting_job(now, link, &job) {
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/exchange.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/exchange.rs
@@ -215,7 +215,7 @@
         let origins = delegation.proofs.count_active(now, limit, link) + 1;
         let present = delegation.incoming.jobs_per_s(now, link);
         let busy_share = self.processor_load.busy_share();
-        delegation.spare_rate.offer(busy_share, present, origins).min(MAX_OFFERED_JOBS_PER_S)
+        delegation.spare_rate.offer(now, busy_share, present, origins).min(MAX_OFFERED_JOBS_PER_S)
     }
 }
 
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/share.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/share.rs
@@ -12,7 +12,7 @@
 const GAIN_PER_S: f64 = 3.0;
 /// Queueing delay that counts as much as a processor that is busy for twice the time there is: work
 /// that has queued up comes on top of what arrives, and delays every job behind it.
-const FULL_DELAY: Duration = Duration::from_millis(200);
+const FULL_DELAY: Duration = Duration::from_millis(100);
 /// Longest time that one update accounts for.
 const MAX_ELAPSED: Duration = Duration::from_millis(100);
 
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -338,7 +338,7 @@
                 (
                     "spare_jobs_per_s",
                     "Jobs per second that could be taken",
-                    core.spare_jobs_per_s(),
+                    core.spare_jobs_per_s(self.clock.now()),
                 ),
                 ("open_jobs", "Jobs being worked on", core.open_jobs() as u64),
                 ("waiting_tasks", "Tasks that wait for room", core.waiting_tasks() as u64),
