--- a/crates/bulrushlatch_dispatch/tests/load/demand_exchange.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/demand_exchange.rs
@@ -32,7 +32,7 @@
         let mut fleet = Fleet::new(&[1.0; ENTRIES], TARGETS, &ALL);
         fleet.wave = Some(WAVE);
         if is_exchanged {
-            fleet.exchange_demand();
+            fleet.exchange_demand(1);
         }
         fleet.run(ms(1_000 + offset_ms), 0.6);
         fleet.run(Duration::from_secs(16), OVERLOAD);
@@ -68,3 +68,27 @@
     assert!(on.total.late < off.total.late);
     assert!(on.refused_with_spare * 100 < on.total.refused, "jobs refused with capacity free");
 }
+
+/// During an upgrade, entries that state no demand are not counted by the others. They must not
+/// starve, and the whole must not serve less.
+#[test]
+fn entries_without_the_exchange_are_served_beside_those_with_it() {
+    let run = |is_exchanged: bool| {
+        let mut fleet = Fleet::new(&[1.0; ENTRIES], TARGETS, &ALL);
+        fleet.wave = Some(WAVE);
+        if is_exchanged {
+            fleet.exchange_demand(2);
+        }
+        fleet.run(ms(1_000), 0.6);
+        fleet.run(Duration::from_secs(16), OVERLOAD);
+        fleet.drain();
+        let without = fleet.tallies.iter().skip(1).step_by(2);
+        let without = without.fold(Tally::default(), |sum, tally| sum.plus(tally));
+        (without, fleet.total())
+    };
+    let (before, total_before) = run(false);
+    let (without, total) = run(true);
+    println!("before {before:?} of {total_before:?}, beside {without:?} of {total:?}");
+    assert!(without.in_time_share() > before.in_time_share() - 0.1, "{without:?}");
+    assert!(total.in_time_share() > total_before.in_time_share() - 0.02, "{total:?}");
+}
--- a/crates/bulrushlatch_dispatch/tests/load/fleet.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/fleet.rs
@@ -244,9 +244,10 @@
         }
     }
 
-    /// Has all entries and targets exchange demand.
-    pub fn exchange_demand(&mut self) {
-        self.entries.iter_mut().for_each(|entry| entry.set_demand_exchange(true));
+    /// Has every `n`th entry exchange demand with the targets.
+    pub fn exchange_demand(&mut self, n: usize) {
+        let entries = self.entries.iter_mut().step_by(n);
+        entries.for_each(|entry| entry.set_demand_exchange(true));
     }
 
     /// Advances the clock by `length` while jobs demand `utilization` of the capacity of all
