--- a/crates/bulrushlatch_dispatch/tests/delegation/fixture.rs
+++ b/crates/bulrushlatch_dispatch/tests/delegation/fixture.rs
@@ -23,6 +23,8 @@
 const BACK_LINK: LinkId = 101;
 /// Number of each entry's link to its agent.
 const AGENT_LINK: LinkId = 1;
+/// Samples after which the average load is that of the samples.
+const LOAD_SAMPLES: u32 = 1_000;
 /// Interval between ticks.
 const STEP: Duration = Duration::from_millis(10);
 
@@ -110,12 +112,10 @@
     /// Makes the delegate's busy share `share` at once, before its next offer.
     pub fn set_delegate_busy(&mut self, share: f64) {
         self.delegate_busy_share = share;
-        let second = Duration::from_secs(1);
-        self.delegate.record_processor_load(
-            second * 3,
-            second.mul_f64(3.0 * share),
-            Duration::ZERO,
-        );
+        for _ in 0..LOAD_SAMPLES {
+            let busy = STEP.mul_f64(share);
+            self.delegate.record_processor_load(STEP, busy, Duration::ZERO);
+        }
     }
 
     pub fn advance(&mut self, by: Duration) {
