Tasks are placed by the speed of targets where it differs

Long tasks were placed at slow targets as often as these had free capacity, and were late there whatever happened: the slowness in the score is outweighed by the free share. Each entry now learns the speed of a target with its uncertainty (a scalar Kalman filter on the logarithm of expected over actual run time, bounded against overlong runs, reset with a new profile). Once a target is recognised as slow, the score counts the risk that the task misses its objective there, tasks that are in time anywhere prefer slow targets, and a task that only a fast target ends in time waits for one while that is expected to help. Run times of routes are learned as those on a nominal target. While no target is slow, decisions are as before.

--- a/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -16,6 +16,8 @@
     timing::Timing,
 };
 
+use super::target_speed::TargetSpeed;
+
 /// Share of the contact limit without a frame after which nothing new is placed at an agent.
 const FRESH_SHARE: f64 = 0.5;
 
@@ -74,6 +76,8 @@
     pub runs: BTreeMap<TaskKey, OrderedRun>,
     /// Moving average of the ratio of actual to expected run times; 1 is average.
     pub slowness: f64,
+    /// Speed of the target, learned since it last started.
+    pub speed: TargetSpeed,
 }
 
 impl AgentView {
@@ -98,6 +102,7 @@
             sent_at: BootTime::ZERO,
             runs: BTreeMap::new(),
             slowness: 1.0,
+            speed: TargetSpeed::default(),
         }
     }
 
@@ -132,6 +137,8 @@
         self.offer = frame.offer;
         if let Some(profile) = &frame.profile {
             self.profile = profile.clone();
+            // The target or its agent has started, or the link was opened again.
+            self.speed = TargetSpeed::default();
         }
         self.received_at = now;
         self.stamp_ms = frame.stamp_ms;
--- a/crates/bulrushlatch_dispatch/src/entry/completion.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/completion.rs
@@ -1,6 +1,6 @@
 //! Handling of ended runs, and the end of jobs.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     clock::BootTime,
@@ -61,7 +61,7 @@
         match outcome {
             RunOutcome::Done => {
                 task.phase = Phase::Done;
-                self.record_run_time(agent, key, run_time);
+                self.record_run_time(now, agent, key, run_time);
                 self.handle_task_done(now, &key.job);
             }
             RunOutcome::Failed => {
@@ -92,12 +92,21 @@
         }
     }
 
-    /// Updates the learned run times of the route and the slowness of the agent.
-    fn record_run_time(&mut self, agent: &ProcessId, key: &TaskKey, run_time: Duration) {
+    /// Updates the learned run times of the route, and the speed and slowness of the agent.
+    fn record_run_time(
+        &mut self,
+        now: BootTime,
+        agent: &ProcessId,
+        key: &TaskKey,
+        run_time: Duration,
+    ) {
         let Some(job) = self.jobs.get(&key.job) else { return };
         let Some(step) = job.request.steps.get(key.step as usize) else { return };
-        let expected = self.run_times.expected(&job.route.name, step.estimate);
-        self.run_times.record(&job.route.name, step.estimate, run_time);
+        let (route, estimate) = (Arc::clone(&job.route), step.estimate);
+        let expected = self.run_times.expected(&route.name, estimate);
+        let run_variance = self.run_times.run_variance(&route.name);
+        let nominal_run_time = self.record_speed(now, agent, run_variance, expected, run_time);
+        self.run_times.record(&route.name, estimate, nominal_run_time);
         let Some(view) = self.agents.get_mut(agent) else { return };
         let ratio = run_time.as_secs_f64() / expected.as_secs_f64().max(MIN_EXPECTED_RUN_TIME_S);
         let slowness = view.slowness + (ratio - view.slowness) * SLOWNESS_AVERAGE_WEIGHT;
@@ -123,6 +132,7 @@
     fn requeue(&mut self, now: BootTime, key: &TaskKey) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let arrived_at = job.arrived_at;
+        job.expected_end_at = BootTime::ZERO;
         let Some(task) = job.task_mut(key) else { return };
         if task.attempt.saturating_sub(task.displaced_attempts) >= MAX_ATTEMPTS {
             self.give_up_job(now, &key.job);
--- a/crates/bulrushlatch_dispatch/src/entry/counters.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/counters.rs
@@ -25,6 +25,8 @@
     pub lost_runs: u64,
     /// Runs that were stopped as stuck.
     pub stuck_runs: u64,
+    /// Tasks that waited for a fast target although others had room.
+    pub speed_waits: u64,
     /// Times that this process was found to have been suspended.
     pub suspensions: u64,
 }
--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -18,6 +18,12 @@
 /// Tasks without a fitting agent after which a pass over the queue ends. It is more than one
 /// because a smaller task may fit where a larger one does not.
 const MAX_MISSES: usize = 3;
+/// Jobs with a task that waits for a fast target after which a pass over the queue ends; it bounds
+/// the work of a pass. They are more than [`MAX_MISSES`] because tasks behind them may have room.
+const MAX_HELD_JOBS: usize = 8;
+/// Shortest time between two decisions on the same task that waits for a fast target: short against
+/// the wait, long against the interval of passes under load.
+const HELD_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 /// Multiple of its expected run time after which a run counts as stuck, unless its route's run
 /// times vary more: estimates are often off by a factor of two, and targets differ in speed.
 const STUCK_FACTOR: f64 = 3.0;
@@ -27,38 +33,88 @@
 /// probably long.
 const MAX_STUCK_RUNS: u32 = 2;
 
+/// Agent chosen for a task.
+enum Selection {
+    /// The task is to start at this agent; with the sensitivity of its
+    /// [`SpeedNeed`](super::placement::SpeedNeed).
+    Agent(ProcessId, f64),
+    /// The task waits for a fast target although others have room.
+    Held,
+    /// No agent has room.
+    NoRoom,
+}
+
+/// What becomes of a task in the queue.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum QueueAction {
+    Remove,
+    /// The task stays for lack of capacity.
+    Keep,
+    /// The task stays to wait for a fast target.
+    Hold,
+}
+
 impl Entry {
     /// Places waiting tasks in the order of the queue until [`MAX_MISSES`] of them find no agent.
     pub(super) fn place_waiting_tasks(&mut self, now: BootTime) {
         let mut after: Option<WaitingTask> = None;
         let mut misses = 0;
-        while misses < MAX_MISSES {
+        let mut held_jobs = 0;
+        let mut held_job: Option<JobId> = None;
+        let is_check_due = now.saturating_sub(self.held_checked_at) >= HELD_CHECK_INTERVAL;
+        if is_check_due {
+            self.held_checked_at = now;
+        }
+        while misses < MAX_MISSES && held_jobs < MAX_HELD_JOBS {
             let from = after.map_or(Bound::Unbounded, Bound::Excluded);
             let next = self.waiting.range((from, Bound::Unbounded)).next().cloned();
             let Some(next) = next else { return };
-            if self.place_task(now, &next.key) {
-                self.waiting.remove(&next);
-            } else {
-                misses += 1;
+            // The job's other tasks would be held as well.
+            if held_job.as_ref() != Some(&next.key.job) {
+                let action = if !is_check_due && self.is_held(&next.key) {
+                    QueueAction::Hold
+                } else {
+                    self.place_task(now, &next.key)
+                };
+                match action {
+                    QueueAction::Remove => {
+                        self.waiting.remove(&next);
+                    }
+                    QueueAction::Keep => misses += 1,
+                    QueueAction::Hold => {
+                        held_jobs += 1;
+                        held_job = Some(next.key.job.clone());
+                    }
+                }
             }
             after = Some(next);
         }
     }
 
-    /// Places one task; returns whether to remove it from the queue.
-    fn place_task(&mut self, now: BootTime, key: &TaskKey) -> bool {
-        let Some(agent) = self.select_agent(now, key) else {
-            return !self.jobs.contains_key(&key.job);
+    /// Places one task; returns what becomes of it in the queue.
+    fn place_task(&mut self, now: BootTime, key: &TaskKey) -> QueueAction {
+        let (agent, sensitivity) = match self.select_agent(now, key) {
+            Selection::Agent(agent, sensitivity) => (agent, sensitivity),
+            Selection::Held => {
+                self.hold_task(now, key);
+                return QueueAction::Hold;
+            }
+            Selection::NoRoom if self.jobs.contains_key(&key.job) => return QueueAction::Keep,
+            Selection::NoRoom => return QueueAction::Remove,
+        };
+        let Some(job) = self.jobs.get(&key.job) else { return QueueAction::Remove };
+        let Some(step) = job.request.steps.get(key.step as usize) else {
+            return QueueAction::Remove;
         };
-        let Some(job) = self.jobs.get_mut(&key.job) else { return true };
-        let Some(step) = job.request.steps.get(key.step as usize) else { return true };
         let (size, payload) = (step.size, job.request.payload.clone());
         let expected = self.run_times.expected(&job.route.name, step.estimate);
-        let Some(task) = job.task_mut(key) else { return true };
+        let expected = self.record_placement(now, key, &agent, expected, sensitivity);
+        let Some(job) = self.jobs.get_mut(&key.job) else { return QueueAction::Remove };
+        let Some(task) = job.task_mut(key) else { return QueueAction::Remove };
         task.attempt += 1;
         let (attempt, has_failed) = (task.attempt, task.failed_runs > 0);
         let start = StartOrder { task: key.clone(), attempt, payload, size, has_failed };
-        let Some(view) = self.agents.get_mut(&agent) else { return false };
+        let Some(view) = self.agents.get_mut(&agent) else { return QueueAction::Keep };
         let order = view.issue_start(start, expected);
         self.agents_with_orders.push(agent.clone());
         task.phase = Phase::Placed { agent, order, placed_at: now, is_stopping: false };
@@ -66,7 +122,7 @@
         if job.is_late() {
             self.begin_late_job(now, &key.job);
         }
-        true
+        QueueAction::Remove
     }
 
     /// Moves the other waiting tasks of a late job of which a task was placed among those in time,
@@ -79,11 +135,16 @@
         self.reclassify(id, WaitClass::InTime, now);
     }
 
-    /// Returns the agent at which to start a task, if any has capacity.
-    fn select_agent(&mut self, now: BootTime, key: &TaskKey) -> Option<ProcessId> {
+    /// Chooses the agent at which to start a task.
+    fn select_agent(&mut self, now: BootTime, key: &TaskKey) -> Selection {
+        self.try_select_agent(now, key).unwrap_or(Selection::NoRoom)
+    }
+
+    fn try_select_agent(&mut self, now: BootTime, key: &TaskKey) -> Option<Selection> {
         let job = self.jobs.get(&key.job)?;
         let step = job.request.steps.get(key.step as usize)?;
         let task = job.task(key)?;
+        let need = self.speed_need(now, job, key);
         let available = self.agents.iter().filter(|(_, view)| {
             view.is_available(now, &self.timing) && view.profile.service == job.route.service
         });
@@ -94,6 +155,7 @@
             labels: &view.profile.labels,
             is_in_own_zone: view.profile.zone == self.zone,
             slowness: view.slowness,
+            speed: &view.speed,
             same_step_runs: match step.max_per_target {
                 Some(_) => view.count_runs(&key.job, key.step),
                 None => 0,
@@ -119,16 +181,22 @@
         }
         let is_avoided = |candidate: &Candidate<'_>| task.avoided_agents.contains(candidate.agent);
         let preferred = candidates.iter().copied().filter(|candidate| !is_avoided(candidate));
-        let chosen = placement::choose(preferred, step, || self.rng.f64());
+        let chosen = placement::choose(preferred, step, need.as_ref(), || self.rng.f64());
         // If all candidates are avoided, any of them is better than none.
         let all_avoided = candidates.iter().all(is_avoided);
         let chosen = match chosen {
             None if all_avoided => {
-                placement::choose(candidates.into_iter(), step, || self.rng.f64())
+                let all = candidates.iter().copied();
+                placement::choose(all, step, need.as_ref(), || self.rng.f64())
             }
             chosen => chosen,
-        };
-        chosen.cloned()
+        }?;
+        let Some(need) = need else { return Some(Selection::Agent(chosen.agent.clone(), 0.0)) };
+        let fastest = placement::fastest(&candidates, step)?;
+        if need.should_wait(chosen.speed, fastest) {
+            return Some(Selection::Held);
+        }
+        Some(Selection::Agent(chosen.agent.clone(), need.sensitivity()))
     }
 
     /// Issues a stop order for every run that counts as stuck.
@@ -169,7 +237,8 @@
         let factor = STUCK_FACTOR * f64::from(1 << task.stuck_runs);
         let upper_bound =
             self.run_times.upper_bound(&job.route.name, step.estimate).unwrap_or_default();
-        let limit = expected.mul_f64(factor).max(upper_bound) + STUCK_MARGIN;
+        let limit = self.scale_limit(agent, expected.mul_f64(factor).max(upper_bound));
+        let limit = limit + STUCK_MARGIN;
         (now.saturating_sub(*placed_at) > limit).then_some((agent, *order, limit))
     }
 
--- a/crates/bulrushlatch_dispatch/src/entry/job_state.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/job_state.rs
@@ -1,6 +1,6 @@
 //! State of an open job and its tasks.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     clock::BootTime,
@@ -35,6 +35,11 @@
     /// Whether a run of any of its tasks ended with another outcome than `NotStarted`; that run may
     /// still never have started.
     pub has_run: bool,
+    /// Latest expected end of its placed tasks; zero before the first, and after a run that has to be
+    /// repeated. Set only where targets' speeds differ.
+    pub expected_end_at: BootTime,
+    /// Estimated time from the end of each step to that of the job; empty if there is one step.
+    pub paths_after: Vec<Duration>,
 }
 
 /// State of a task.
@@ -50,6 +55,8 @@
     pub failed_runs: u32,
     /// Number of runs that were stopped as stuck.
     pub stuck_runs: u32,
+    /// Since when it has waited for a fast target although others had room.
+    pub held_since: Option<BootTime>,
     /// Agents at which an attempt did not succeed for a reason other than lack of capacity; used
     /// again only if no other agent is available.
     pub avoided_agents: Vec<ProcessId>,
--- a/crates/bulrushlatch_dispatch/src/entry/job_times.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/job_times.rs
@@ -5,7 +5,7 @@
 /// Number of latency objectives within which an answer is of use.
 const LATE_OBJECTIVES: u32 = 3;
 /// Time reserved for messages in a job's latency objective.
-const MESSAGE_TIME_RESERVE: Duration = Duration::from_millis(8);
+pub(super) const MESSAGE_TIME_RESERVE: Duration = Duration::from_millis(8);
 
 /// Times that bound a job, counted from its arrival.
 #[derive(Clone, Copy, Debug)]
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -8,6 +8,8 @@
 //! - `dispatch`: places waiting tasks and stops stuck runs
 //! - `completion`: handles ended runs and ends jobs
 //! - [`placement`]: chooses the agent that starts a task
+//! - [`target_speed`]: learned speeds of targets
+//! - `speed_placement`: use of targets' speeds where they differ
 //! - [`subset`]: chooses the agents that an entry uses
 //! - `agents`: links to agents, choice of those in use, loss of an agent
 //! - [`agent_view`]: state of an agent as the entry knows it
@@ -32,9 +34,11 @@
 pub mod placement;
 pub mod rates;
 pub mod run_times;
+mod speed_placement;
 mod submission;
 pub mod subset;
 mod supply;
+pub mod target_speed;
 pub mod waiting;
 
 use std::{
@@ -56,7 +60,8 @@
 
 use self::{
     agent_view::AgentView, answer_cache::AnswerCache, job_state::JobState, late_limit::LateLimit,
-    offered_load::OfferedLoad, rates::RouteDemands, run_times::RunTimes, waiting::WaitingTask,
+    offered_load::OfferedLoad, rates::RouteDemands, run_times::RunTimes,
+    target_speed::ServiceSpeeds, waiting::WaitingTask,
 };
 
 /// Average lag of the tick timer above which no new jobs are accepted: heartbeats are due every
@@ -94,6 +99,12 @@
     late_limit: LateLimit,
     answer_cache: AnswerCache,
     run_times: RunTimes,
+    /// Speeds of the targets of each service with agents in use.
+    speeds: BTreeMap<ServiceName, ServiceSpeeds>,
+    /// Whether tasks are placed by the speed of targets where it differs.
+    is_speed_placement_on: bool,
+    /// When the tasks that wait for fast targets were last considered.
+    held_checked_at: BootTime,
     /// CPU demanded by arriving jobs.
     demands: RouteDemands,
     /// Load of the jobs of each service, accepted or not.
@@ -135,6 +146,9 @@
             late_limit: LateLimit::default(),
             answer_cache: AnswerCache::default(),
             run_times: RunTimes::default(),
+            speeds: BTreeMap::new(),
+            is_speed_placement_on: true,
+            held_checked_at: BootTime::ZERO,
             demands: RouteDemands::default(),
             offered_loads: BTreeMap::new(),
             entry_count: 1,
@@ -305,6 +319,7 @@
         self.end_runs_at_silent_agents(now);
         if now.saturating_sub(self.subset_chosen_at) >= SUBSET_INTERVAL {
             self.update_agents_in_use(now);
+            self.refresh_speeds(now);
         }
         self.stop_stuck_runs(now);
         self.record_spare_capacity(now);
--- a/crates/bulrushlatch_dispatch/src/entry/run_times.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/run_times.rs
@@ -17,6 +17,8 @@
 /// Number of standard deviations between the expected logarithm and the upper bound, below which
 /// almost all runs end.
 const UPPER_BOUND_DEVIATIONS: f64 = 3.0;
+/// Largest squared error, in multiples of the variance, that counts for the variance of run times.
+const MAX_SQUARED_DEVIATIONS: f64 = 6.0;
 /// Shortest run time that is distinguished, in ms: clocks and messages are not more precise.
 const MIN_RUN_TIME_MS: f64 = 0.5;
 /// Longest run time that is distinguished; no caller waits this long.
@@ -34,6 +36,9 @@
     log_variance: f64,
     /// Mean squared error of the logarithms of estimates.
     estimate_variance: f64,
+    /// Mean squared error of the expected logarithms, with bounded errors, so that a few runs of
+    /// several times the usual length have little effect.
+    run_variance: f64,
 }
 
 impl RouteStats {
@@ -43,6 +48,7 @@
             log_mean: log_run_time,
             log_variance: INITIAL_VARIANCE,
             estimate_variance: INITIAL_VARIANCE,
+            run_variance: INITIAL_VARIANCE,
         }
     }
 
@@ -50,6 +56,10 @@
         self.runs = self.runs.saturating_add(1);
         // The first values weigh more, so that the initial variances soon lose their influence.
         let weight = WEIGHT.max(1.0 / (f64::from(self.runs) + 1.0));
+        let (expected, _) = self.expected(log_estimate);
+        let error = log_run_time - expected;
+        let squared = (error * error).min(MAX_SQUARED_DEVIATIONS * self.run_variance);
+        self.run_variance += (squared - self.run_variance) * weight;
         let error = log_run_time - self.log_mean;
         self.log_variance += (error * error - self.log_variance) * weight;
         self.log_mean += error * weight;
@@ -95,6 +105,11 @@
         from_log_ms(log)
     }
 
+    /// Returns the variance of the logarithm of run times around the expected one.
+    pub fn run_variance(&self, route: &RouteName) -> f64 {
+        self.routes.get(route).map_or(INITIAL_VARIANCE, |stats| stats.run_variance)
+    }
+
     /// Returns a time within which almost all runs end; `None` for a route without recorded runs.
     pub fn upper_bound(&self, route: &RouteName, estimate: Duration) -> Option<Duration> {
         let (log, variance) = self.routes.get(route)?.expected(log_ms(estimate));
--- a/crates/bulrushlatch_dispatch/src/entry/submission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/submission.rs
@@ -161,6 +161,8 @@
             useful_until: now + times.useful,
             class,
             has_run: false,
+            expected_end_at: BootTime::ZERO,
+            paths_after: request.paths_after(),
             request,
             route,
         };
--- a/crates/bulrushlatch_dispatch/src/job.rs
+++ b/crates/bulrushlatch_dispatch/src/job.rs
@@ -60,6 +60,24 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Returns for each step the sum of the estimates along the longest chain of steps that follow it;
+    /// empty if there is one step.
+    pub fn paths_after(&self) -> Vec<Duration> {
+        if self.steps.len() <= 1 {
+            return Vec::new();
+        }
+        let mut paths = vec![Duration::ZERO; self.steps.len()];
+        for (number, step) in self.steps.iter().enumerate().rev() {
+            let path = step.estimate + paths[number];
+            for &earlier in &step.depends_on {
+                if let Some(earlier_path) = paths.get_mut(earlier as usize) {
+                    *earlier_path = path.max(*earlier_path);
+                }
+            }
+        }
+        paths
+    }
+
     /// Returns the total size of the initial tasks: those of steps that depend on no other.
     pub fn initial_demand(&self) -> Size {
         let mut demand = Size::default();
