Load tests of targets of unlike speed

Cause: no test had targets whose speeds differ.

Change: targets of the fleet simulation have speeds, and run times and estimates vary at random.

--- a/crates/bulrushlatch_dispatch/tests/load/fleet.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/fleet.rs
@@ -28,6 +28,9 @@
 /// Run time of the next task of a kind, as shares of the mean, used in turn.
 const RUN_TIME_FACTORS: [f64; 5] = [0.7, 1.3, 0.9, 1.5, 0.6];
 
+/// Largest of them: the objective allows for the longest task.
+const LONGEST_RUN_FACTOR: f64 = 1.5;
+
 /// What a target keeps for one entry.
 #[derive(Clone, Default)]
 struct TargetSession {
@@ -50,7 +53,12 @@
 struct FleetTarget {
     sessions: Vec<TargetSession>,
     running: Vec<FleetRun>,
+    total_cpu_millis: u64,
     free_cpu_millis: u64,
+    /// Divides the run times of tasks that start.
+    speed: f64,
+    /// Tasks that have started.
+    starts: u64,
     /// Whether the target has been taken away.
     is_gone: bool,
 }
@@ -68,7 +76,7 @@
             self.sessions[entry].orders_seen = order.number;
             match order.action {
                 Action::Start(start) => {
-                    let length = run_time(&start.task.job);
+                    let length = run_time(&start.task.job).div_f64(self.speed);
                     let report = Report {
                         number: 0,
                         order: order.number,
@@ -81,6 +89,7 @@
                         let outcome = RunOutcome::NotStarted(Obstacle::NoCapacity);
                         self.report(entry, Report { outcome, ..report });
                     } else {
+                        self.starts += 1;
                         self.free_cpu_millis -= start.size.cpu_millis;
                         let (ends_at, cpu_millis) = (now + length, start.size.cpu_millis);
                         self.running.push(FleetRun { entry, ends_at, cpu_millis, report });
@@ -131,7 +140,7 @@
             service: "service".to_owned(),
             labels: Vec::new(),
             zone: zone(number),
-            total: size(TARGET_CPU_MILLIS),
+            total: size(self.total_cpu_millis),
         };
         let offer = Offer { free: size(free_cpu_millis), accepts: !self.is_gone };
         Some(AgentFrame {
@@ -144,6 +153,36 @@
     }
 }
 
+/// How run times and estimates vary around the mean of their kind.
+#[derive(Clone, Copy)]
+pub struct Variation {
+    /// Largest deviation of a run time, as a share of the mean.
+    pub run_time: f64,
+    /// Largest deviation of a job's estimate, as a share of the mean.
+    pub estimate: f64,
+    /// Share of the tasks of long jobs that take [`OVERLONG_FACTOR`] times as long.
+    pub overlong_share: f64,
+}
+
+/// Multiple of its usual run time that an overlong task takes.
+const OVERLONG_FACTOR: f64 = 7.0;
+/// Mean run time in ms from which a job is long.
+const LONG_RUN_MS: u64 = 500;
+
+impl Variation {
+    /// Returns the run time of a task as a multiple of the mean.
+    fn run_time_factor(&self, kind: &JobKind, rng: &mut fastrand::Rng) -> f64 {
+        let factor = uniform(self.run_time, rng);
+        let is_overlong = kind.run_ms >= LONG_RUN_MS && rng.f64() < self.overlong_share;
+        if is_overlong { factor * OVERLONG_FACTOR } else { factor }
+    }
+}
+
+/// Returns a factor that differs from 1 by up to `deviation`.
+fn uniform(deviation: f64, rng: &mut fastrand::Rng) -> f64 {
+    1.0 + deviation * (2.0 * rng.f64() - 1.0)
+}
+
 fn zone(number: usize) -> String {
     format!("zone-{}", number % ZONES)
 }
@@ -166,6 +205,9 @@
     open: BTreeMap<CallerId, (usize, usize, BootTime)>,
     last_caller: CallerId,
     tasks: usize,
+    /// Variation of run times and estimates; `None` for the factors in turn.
+    variation: Option<Variation>,
+    rng: fastrand::Rng,
     /// Results by entry.
     pub tallies: Vec<Tally>,
     /// Results by kind of job.
@@ -194,7 +236,10 @@
         let target = || FleetTarget {
             sessions: vec![TargetSession::default(); weights.len()],
             running: Vec::new(),
+            total_cpu_millis: TARGET_CPU_MILLIS,
             free_cpu_millis: TARGET_CPU_MILLIS,
+            speed: 1.0,
+            starts: 0,
             is_gone: false,
         };
         Self {
@@ -207,16 +252,55 @@
             open: BTreeMap::new(),
             last_caller: 0,
             tasks: 0,
+            variation: None,
+            rng: fastrand::Rng::with_seed(5),
             tallies: vec![Tally::default(); weights.len()],
             kind_tallies: vec![Tally::default(); kinds.len()],
         }
     }
 
+    /// Sets the CPU of all targets, before the first step.
+    pub fn set_target_cpu_millis(&mut self, cpu_millis: u64) {
+        for target in &mut self.targets {
+            (target.total_cpu_millis, target.free_cpu_millis) = (cpu_millis, cpu_millis);
+        }
+    }
+
+    /// Sets the speed of each target by its number; it applies to tasks that start from now on.
+    pub fn set_speeds(&mut self, speed: impl Fn(usize) -> f64) {
+        for (number, target) in self.targets.iter_mut().enumerate() {
+            target.speed = speed(number);
+        }
+    }
+
+    /// Varies run times and estimates at random.
+    pub fn vary_run_times(&mut self, variation: Variation, seed: u64) {
+        self.variation = Some(variation);
+        self.rng = fastrand::Rng::with_seed(seed);
+    }
+
+    /// Switches placement by speed at all entries.
+    pub fn set_speed_placement(&mut self, is_on: bool) {
+        self.entries.iter_mut().for_each(|entry| entry.set_speed_placement(is_on));
+    }
+
+    /// Returns the number of tasks that have started at each target.
+    pub fn starts(&self) -> Vec<u64> {
+        self.targets.iter().map(|target| target.starts).collect()
+    }
+
+    /// Returns the entries.
+    pub fn entries(&self) -> &[Entry] {
+        &self.entries
+    }
+
     /// Advances the clock by `length` while jobs demand `utilization` of the capacity of all
     /// targets.
     pub fn run(&mut self, length: Duration, utilization: f64) {
         let per_s: f64 = self.kinds.iter().map(core_millis_per_s).sum();
-        let capacity = (self.targets.len() as u64 * TARGET_CPU_MILLIS) as f64;
+        let capacities = self.targets.iter();
+        let capacity: f64 =
+            capacities.map(|target| target.total_cpu_millis as f64 * target.speed).sum();
         let factor = capacity * utilization / per_s;
         let end = self.now + length;
         while self.now < end {
@@ -268,6 +352,10 @@
         self.last_caller += 1;
         let (caller, job_kind) = (self.last_caller, self.kinds[kind]);
         let estimate = ms(job_kind.run_ms);
+        let estimate = match self.variation {
+            Some(variation) => estimate.mul_f64(uniform(variation.estimate, &mut self.rng)),
+            None => estimate,
+        };
         let cpu_millis = JOB_CPU_MILLIS[caller as usize % JOB_CPU_MILLIS.len()];
         let submission = Submission {
             caller,
@@ -298,11 +386,16 @@
     fn collect(&mut self, entry: usize) {
         for (link, frame) in self.entries[entry].frames(self.now) {
             let (open, kinds, tasks) = (&self.open, &self.kinds, &mut self.tasks);
+            let (variation, rng) = (self.variation, &mut self.rng);
             let mut run_time = |job: &str| {
                 *tasks += 1;
                 let caller = job.trim_start_matches("job-").parse().unwrap_or_default();
                 let kind = open.get(&caller).map_or(0, |(_, kind, _)| *kind);
-                ms(kinds[kind].run_ms).mul_f64(RUN_TIME_FACTORS[*tasks % RUN_TIME_FACTORS.len()])
+                let factor = match variation {
+                    Some(variation) => variation.run_time_factor(&kinds[kind], rng),
+                    None => RUN_TIME_FACTORS[*tasks % RUN_TIME_FACTORS.len()],
+                };
+                ms(kinds[kind].run_ms).mul_f64(factor)
             };
             let target = &mut self.targets[link as usize - 1];
             target.handle_frame(self.now, entry, frame, &mut run_time);
@@ -310,8 +403,9 @@
         for (caller, answer) in self.entries[entry].take_answers() {
             let Some((_, kind_index, since)) = self.open.remove(&caller) else { continue };
             let kind = &self.kinds[kind_index];
-            let longest_run = ms(kind.run_ms).mul_f64(1.5);
-            let objective = route_of(kind).objective(longest_run);
+            // With random run times, the objective is that of a job of the mean run time.
+            let path_factor = if self.variation.is_some() { 1.0 } else { LONGEST_RUN_FACTOR };
+            let objective = route_of(kind).objective(ms(kind.run_ms).mul_f64(path_factor));
             let took = self.now - since;
             for tally in [&mut self.tallies[entry], &mut self.kind_tallies[kind_index]] {
                 match answer {
--- a/crates/bulrushlatch_dispatch/tests/load/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/main.rs
@@ -10,6 +10,7 @@
 #[path = "../support/mod.rs"]
 mod support;
 mod unequal_entries;
+mod unequal_targets;
 
 use std::time::Duration;
 
