Setting and metrics of placement by speed

Cause: operators need to switch placement by speed off, and to see it work.

Metrics of the entry: speed_waits, slow_targets and target_speed_spread_percent.

--- a/crates/bulrushlatch_node/src/entry/flags.rs
+++ b/crates/bulrushlatch_node/src/entry/flags.rs
@@ -36,6 +36,8 @@
         /// Rate of the VM's network link, in Mbit/s; reads of the store leave half of it to other
         /// traffic (default: not limited)
         optional --link-mbps rate: String
+        /// Whether tasks are placed by the speed of targets where it differs: on or off (default on)
+        optional --speed-placement switch: String
         /// Time between SIGTERM and SIGKILL, in s (default 6)
         optional --grace-s seconds: String
         /// Format of log lines: text or json (default json)
@@ -62,6 +64,7 @@
     pub resend_after_ms: Option<String>,
     pub longest_lease_ms: Option<String>,
     pub link_mbps: Option<String>,
+    pub speed_placement: Option<String>,
     pub grace_s: Option<String>,
     pub log_format: Option<String>,
     pub log_level: Option<String>,
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -136,7 +136,8 @@
     fn new(settings: EntrySettings, caller_interface: C, store: S) -> Self {
         let common = &settings.common;
         let id = ProcessId { name: common.name.clone(), incarnation: fastrand::u64(1..) };
-        let core = Entry::new(common.timing, common.zone.clone(), fastrand::u64(..));
+        let mut core = Entry::new(common.timing, common.zone.clone(), fastrand::u64(..));
+        core.set_speed_placement(settings.speed_placement);
         Self {
             id,
             clock: SystemBootClock,
@@ -271,6 +272,11 @@
                 ("fruitless_starts", "Start orders that began nothing", counters.not_started),
                 ("lost_runs", "Runs that ended without a result", counters.lost_runs),
                 ("stuck_runs", "Runs stopped for standing still", counters.stuck_runs),
+                (
+                    "speed_waits",
+                    "Tasks that waited for a fast target while others had room",
+                    counters.speed_waits,
+                ),
                 ("suspensions", "Times this process was suspended", counters.suspensions),
                 (
                     "store_faults",
@@ -285,6 +291,12 @@
                 ("open_jobs", "Jobs being worked on", core.open_jobs() as u64),
                 ("waiting_tasks", "Tasks that wait for room", core.waiting_tasks() as u64),
                 ("version", "Configuration in force", core.version().unwrap_or_default()),
+                (
+                    "target_speed_spread_percent",
+                    "Standard deviation of the speeds of targets in use",
+                    (core.target_speed_spread() * 100.0) as u64,
+                ),
+                ("slow_targets", "Targets recognised as slow", core.slow_targets() as u64),
                 (
                     "cordoned_zones",
                     "Zones that receive no new tasks",
--- a/crates/bulrushlatch_node/src/settings.rs
+++ b/crates/bulrushlatch_node/src/settings.rs
@@ -60,6 +60,8 @@
     pub link_address: SocketAddr,
     /// Rate at which the store's responses are read; `None` if not limited.
     pub store_read_rate: Option<ReadRate>,
+    /// Whether tasks are placed by the speed of targets where it differs.
+    pub speed_placement: bool,
 }
 
 /// Settings of an agent.
@@ -154,6 +156,20 @@
     (is_valid && link_mbps > 0.0).then_some(ReadRate { bytes_per_s })
 }
 
+/// Reads a setting that is `on` or `off`.
+fn read_switch(
+    reader: &mut SettingsReader,
+    flag: &str,
+    given: Option<String>,
+    default: bool,
+) -> bool {
+    let default = if default { "on" } else { "off" };
+    let value: String = reader.optional(flag, given, default.to_owned());
+    let is_valid = matches!(value.as_str(), "on" | "off");
+    reader.check(is_valid, &format!("--{flag} must be on or off"));
+    value == "on"
+}
+
 impl EntrySettings {
     /// Reads flags and environment variables.
     ///
@@ -167,6 +183,8 @@
         let link_listen = read_address(&mut reader, "link-listen", flags.link_listen);
         let link_address = reader.optional("link-address", flags.link_address, link_listen);
         let store_read_rate = read_store_rate(&mut reader, flags.link_mbps);
+        let speed_placement =
+            read_switch(&mut reader, "speed-placement", flags.speed_placement, true);
         let common = read_common(&mut reader, common_flags!(flags));
         reader.finish(Self {
             common,
@@ -175,6 +193,7 @@
             link_listen,
             link_address,
             store_read_rate,
+            speed_placement,
         })
     }
 }
