--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -179,6 +179,11 @@
         self.waiting.len()
     }
 
+    /// Returns the learned run times of each route.
+    pub fn run_times(&self) -> &RunTimes {
+        &self.run_times
+    }
+
     /// Returns the version of the configuration in force.
     pub fn version(&self) -> Option<u64> {
         self.table.as_ref().map(|table| table.version)
--- a/crates/bulrushlatch_dispatch/src/entry/placement.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/placement.rs
@@ -85,6 +85,8 @@
     time_left: Duration,
     /// Expected run time on the nominal target.
     run_time: Duration,
+    /// Logarithm of the ratio of `run_time` to `time_left`; infinite if no time is left.
+    log_time_ratio: f64,
     /// Variance of the logarithm of run times at one target.
     run_variance: f64,
     /// Share of the recent work that only fast targets can do in time.
@@ -109,14 +111,16 @@
             mean_log_speed: speeds.mean_log_speed,
             time_left: time_left.unwrap_or_default(),
             run_time,
+            log_time_ratio: log_ratio(run_time, time_left.unwrap_or_default()),
             run_variance,
             sensitive_share: speeds.sensitive_share(),
             fast_wait: speeds.fast_wait(),
             sensitivity: 0.0,
         };
         if time_left.is_some() {
-            let slowest = need.risk_at(speeds.min_log_speed, 0.0, need.time_left);
-            need.sensitivity = slowest - need.risk_at(speeds.max_log_speed, 0.0, need.time_left);
+            let slowest = need.risk_at(speeds.min_log_speed, 0.0, need.log_time_ratio);
+            let fastest = need.risk_at(speeds.max_log_speed, 0.0, need.log_time_ratio);
+            need.sensitivity = slowest - fastest;
         }
         need
     }
@@ -128,15 +132,11 @@
 
     /// Returns the probability that the task ends late on a target.
     fn risk(&self, speed: &TargetSpeed) -> f64 {
-        self.risk_at(speed.log_speed(), speed.variance(), self.time_left)
+        self.risk_at(speed.log_speed(), speed.variance(), self.log_time_ratio)
     }
 
-    fn risk_at(&self, log_speed: f64, variance: f64, time_left: Duration) -> f64 {
-        if time_left.is_zero() {
-            return 1.0;
-        }
-        let time_ratio = self.run_time.as_secs_f64() / time_left.as_secs_f64();
-        let log_excess = time_ratio.ln() - (log_speed - self.mean_log_speed);
+    fn risk_at(&self, log_speed: f64, variance: f64, log_time_ratio: f64) -> f64 {
+        let log_excess = log_time_ratio - (log_speed - self.mean_log_speed);
         let deviations = log_excess / (self.run_variance + variance).sqrt();
         1.0 / (1.0 + (-LOGISTIC_STEEPNESS * deviations).exp())
     }
@@ -159,11 +159,20 @@
             return false;
         }
         let time_left = self.time_left.saturating_sub(self.fast_wait);
-        let later = self.risk_at(fastest.log_speed(), fastest.variance(), time_left);
+        let log_time_ratio = log_ratio(self.run_time, time_left);
+        let later = self.risk_at(fastest.log_speed(), fastest.variance(), log_time_ratio);
         self.risk(chosen) - later > MIN_WAIT_GAIN
     }
 }
 
+/// Returns the logarithm of the ratio of a run time to the time left.
+fn log_ratio(run_time: Duration, time_left: Duration) -> f64 {
+    if time_left.is_zero() {
+        return f64::INFINITY;
+    }
+    (run_time.as_secs_f64() / time_left.as_secs_f64()).ln()
+}
+
 /// Returns the highest speed among the agents that may run a task of `step` when they have room.
 pub fn fastest<'a>(candidates: &[Candidate<'a>], step: &Step) -> Option<&'a TargetSpeed> {
     let allowed = candidates
--- a/crates/bulrushlatch_dispatch/tests/load/unequal_targets.rs
+++ b/crates/bulrushlatch_dispatch/tests/load/unequal_targets.rs
@@ -6,7 +6,7 @@
 
 use super::{
     fleet::{Fleet, Variation},
-    site::{AVAILABILITY, JobKind, PHOTO, PRICE_CHECK, Tally},
+    site::{AVAILABILITY, JobKind, PHOTO, PRICE_CHECK, Tally, route_of},
 };
 
 /// The mix of a site with repair counters.
@@ -23,6 +23,8 @@
 const SEEDS: [u64; 3] = [1, 2, 3];
 const SLOW: f64 = 0.55;
 const FAST: f64 = 1.2;
+/// Mean of a quarter of slow targets and the rest: the speed of the nominal target.
+const MEAN_SPEED: f64 = 0.25 * SLOW + 0.75 * FAST;
 
 fn fleet(kinds: &[JobKind], seed: u64, speed: impl Fn(usize) -> f64, is_on: bool) -> Fleet {
     let mut fleet = Fleet::new(&ENTRIES, TARGETS, kinds);
@@ -175,3 +177,20 @@
         assert_eq!(format!("{:?}", off.total()), format!("{:?}", on.total()), "load {load}");
     }
 }
+
+/// Long tasks run at fast targets almost only. Their objective must still be that of a nominal target, or
+/// it would become stricter than the caller's.
+#[test]
+fn expected_run_times_are_those_of_a_nominal_target() {
+    let fleet = run_quarter_slow(0.8, 1, true);
+    for kind in MIX {
+        let expected = fleet.entries().iter().map(|entry| {
+            let expected = entry.run_times().expected(&route_of(&kind).name, Duration::ZERO);
+            expected.as_secs_f64() * 1e3
+        });
+        let mean_ms = expected.sum::<f64>() / fleet.entries().len() as f64;
+        let nominal_ms = kind.run_ms as f64 / MEAN_SPEED;
+        let error = mean_ms / nominal_ms - 1.0;
+        assert!(error.abs() < 0.08, "{}: {mean_ms} ms, not {nominal_ms} ms", kind.name);
+    }
+}
