Tasks wait only for fast targets that they may use

Cause: the fastest target that a task waited for could be one that the task avoids after a failed run; tasks of other steps of a held job were passed over although they may need no fast target; a learned variance near zero could make a risk undefined.

Change: avoided agents do not count while others are left, the passing over is by step, and the variance of run times has a lower bound.

--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -18,9 +18,9 @@
 /// Tasks without a fitting agent after which a pass over the queue ends. It is more than one
 /// because a smaller task may fit where a larger one does not.
 const MAX_MISSES: usize = 3;
-/// Jobs with a task that waits for a fast target after which a pass over the queue ends; it bounds
-/// the work of a pass. They are more than [`MAX_MISSES`] because tasks behind them may have room.
-const MAX_HELD_JOBS: usize = 8;
+/// Steps of jobs that wait for a fast target after which a pass over the queue ends; it bounds the
+/// work of a pass. They are more than [`MAX_MISSES`] because tasks behind them may have room.
+const MAX_HELD_STEPS: usize = 8;
 /// Shortest time between two decisions on the same task that waits for a fast target: short against
 /// the wait, long against the interval of passes under load.
 const HELD_CHECK_INTERVAL: Duration = Duration::from_millis(2);
@@ -59,18 +59,20 @@
     pub(super) fn place_waiting_tasks(&mut self, now: BootTime) {
         let mut after: Option<WaitingTask> = None;
         let mut misses = 0;
-        let mut held_jobs = 0;
-        let mut held_job: Option<JobId> = None;
+        let mut held_steps = 0;
+        let mut held: Option<TaskKey> = None;
         let is_check_due = now.saturating_sub(self.held_checked_at) >= HELD_CHECK_INTERVAL;
         if is_check_due {
             self.held_checked_at = now;
         }
-        while misses < MAX_MISSES && held_jobs < MAX_HELD_JOBS {
+        while misses < MAX_MISSES && held_steps < MAX_HELD_STEPS {
             let from = after.map_or(Bound::Unbounded, Bound::Excluded);
             let next = self.waiting.range((from, Bound::Unbounded)).next().cloned();
             let Some(next) = next else { return };
-            // The job's other tasks would be held as well.
-            if held_job.as_ref() != Some(&next.key.job) {
+            // The other tasks of the same step would be held as well.
+            let is_same_step =
+                |held: &TaskKey| held.job == next.key.job && held.step == next.key.step;
+            if !held.as_ref().is_some_and(is_same_step) {
                 let action = if !is_check_due && self.is_held(&next.key) {
                     QueueAction::Hold
                 } else {
@@ -82,8 +84,8 @@
                     }
                     QueueAction::Keep => misses += 1,
                     QueueAction::Hold => {
-                        held_jobs += 1;
-                        held_job = Some(next.key.job.clone());
+                        held_steps += 1;
+                        held = Some(next.key.clone());
                     }
                 }
             }
@@ -192,7 +194,8 @@
             chosen => chosen,
         }?;
         let Some(need) = need else { return Some(Selection::Agent(chosen.agent.clone(), 0.0)) };
-        let fastest = placement::fastest(&candidates, step)?;
+        let usable = candidates.iter().filter(|candidate| all_avoided || !is_avoided(candidate));
+        let fastest = placement::fastest(usable, step)?;
         if need.should_wait(chosen.speed, fastest) {
             return Some(Selection::Held);
         }
--- a/crates/bulrushlatch_dispatch/src/entry/placement.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/placement.rs
@@ -22,7 +22,8 @@
 const RELIEF_SCORE_WEIGHT: f64 = 1.0;
 /// Largest logarithm of a speed's ratio to the mean that is counted for relief.
 const MAX_RELIEF_LOG_RATIO: f64 = 0.7;
-/// Difference in risk from which on a task waits for a fast target.
+/// Difference in risk from which on a task waits for a fast target. At 0.1, so many tasks wait under
+/// load that short ones become late.
 const MIN_WAIT_GAIN: f64 = 0.25;
 /// Steepness of the logistic function that is closest to the normal distribution function.
 const LOGISTIC_STEEPNESS: f64 = 1.702;
@@ -174,16 +175,18 @@
 }
 
 /// Returns the highest speed among the agents that may run a task of `step` when they have room.
-pub fn fastest<'a>(candidates: &[Candidate<'a>], step: &Step) -> Option<&'a TargetSpeed> {
-    let allowed = candidates
-        .iter()
-        .filter(|candidate| candidate.allows(step) && step.size.fits(&candidate.total));
+pub fn fastest<'a: 'b, 'b>(
+    candidates: impl Iterator<Item = &'b Candidate<'a>>,
+    step: &Step,
+) -> Option<&'a TargetSpeed> {
+    let allowed =
+        candidates.filter(|candidate| candidate.allows(step) && step.size.fits(&candidate.total));
     let speeds = allowed.map(|candidate| candidate.speed);
     speeds.max_by(|left, right| left.log_speed().total_cmp(&right.log_speed()))
 }
 
-/// Returns the agent with the highest score among those with capacity for a task of `step`; without
-/// `need`, targets' speeds count only as far as they slow tasks down on average. `random` returns values uniform in 0..1.
+/// Returns the agent with the highest score among those with capacity for a task of `step`. Without
+/// `need`, slowness counts whatever the task's objective. `random` returns values uniform in 0..1.
 pub fn choose<'a>(
     candidates: impl Iterator<Item = Candidate<'a>>,
     step: &Step,
--- a/crates/bulrushlatch_dispatch/src/entry/run_times.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/run_times.rs
@@ -107,7 +107,8 @@
 
     /// Returns the variance of the logarithm of run times around the expected one.
     pub fn run_variance(&self, route: &RouteName) -> f64 {
-        self.routes.get(route).map_or(INITIAL_VARIANCE, |stats| stats.run_variance)
+        let variance = self.routes.get(route).map_or(INITIAL_VARIANCE, |stats| stats.run_variance);
+        variance.max(MIN_VARIANCE)
     }
 
     /// Returns a time within which almost all runs end; `None` for a route without recorded runs.
