--- a/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -24,6 +24,7 @@
     },
     demand::AgentDemand,
     stamps::StampHistory,
+    target_speed::TargetSpeed,
 };
 
 /// Part of the contact limit, as its divisor, without a frame after which nothing new is placed at an
@@ -97,6 +98,8 @@
     pub slowness: f64,
     /// Demand exchanged with the agent.
     pub demand: AgentDemand,
+    /// Speed of the target, learned since it last started.
+    pub speed: TargetSpeed,
 }
 
 impl AgentView {
@@ -124,6 +127,7 @@
             runs: BTreeMap::new(),
             slowness: 1.0,
             demand: AgentDemand::default(),
+            speed: TargetSpeed::default(),
         }
     }
 
@@ -167,6 +171,8 @@
         self.offer = frame.offer;
         if let Some(profile) = &frame.profile {
             self.profile = profile.clone();
+            // The target or its agent has started, or the link was opened again.
+            self.speed = TargetSpeed::default();
         }
         self.received_at = now;
         self.stamps.record(now, frame.stamp_ms);
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -14,6 +14,8 @@
 //! - [`overload`]: refuses jobs for lack of processor time
 //! - [`delegation`]: jobs that other entries carry out, and jobs carried out for them
 //! - [`processor_load`]: how much of its VM's processor the entry uses
+//! - [`target_speed`]: learned speeds of targets
+//! - `speed_placement`: use of targets' speeds where they differ
 //! - [`subset`]: chooses the agents that an entry uses
 //! - `agents`: links to agents, choice of those in use, loss of an agent
 //! - [`agent_view`]: state of an agent as the entry knows it
@@ -49,10 +51,12 @@
 pub mod served_shares;
 pub mod service_numbers;
 mod shortage;
+mod speed_placement;
 pub mod stamps;
 mod submission;
 pub mod subset;
 mod supply;
+pub mod target_speed;
 pub mod waiting;
 
 use std::{collections::BTreeMap, time::Duration};
@@ -75,7 +79,7 @@
     demand::DemandExchange, job_state::JobState, late_limit::LateLimit, offered_load::OfferedLoad,
     overload::OverloadControl, processor_load::ProcessorLoad, rates::RouteDemands,
     reserve::UrgentDemand, run_times::RunTimes, served_shares::ServedShares,
-    service_numbers::ServiceNumbers, waiting::WaitingQueue,
+    service_numbers::ServiceNumbers, target_speed::ServiceSpeeds, waiting::WaitingQueue,
 };
 
 /// Shortest interval between checks of all agents for due heartbeats: short against the interval of
@@ -113,6 +117,12 @@
     late_limit: LateLimit,
     answer_cache: AnswerCache,
     run_times: RunTimes,
+    /// Speeds of the targets of each service with agents in use.
+    speeds: BTreeMap<ServiceName, ServiceSpeeds>,
+    /// Whether tasks are placed by the speed of targets where it differs.
+    is_speed_placement_on: bool,
+    /// When the tasks that wait for fast targets were last considered.
+    held_checked_at: BootTime,
     /// CPU demanded by arriving jobs.
     demands: RouteDemands,
     /// Load of the jobs of each service, accepted or not.
@@ -166,6 +176,9 @@
             late_limit: LateLimit::default(),
             answer_cache: AnswerCache::default(),
             run_times: RunTimes::default(),
+            speeds: BTreeMap::new(),
+            is_speed_placement_on: true,
+            held_checked_at: BootTime::ZERO,
             demands: RouteDemands::default(),
             offered_loads: BTreeMap::new(),
             demand: DemandExchange::default(),
@@ -202,6 +215,11 @@
         self.waiting.len()
     }
 
+    /// Returns the learned run times of each route.
+    pub fn run_times(&self) -> &RunTimes {
+        &self.run_times
+    }
+
     /// Returns the version of the configuration in force.
     pub fn version(&self) -> Option<u64> {
         self.table.as_ref().map(|table| table.version)
@@ -347,6 +365,7 @@
         self.end_runs_at_silent_agents(now);
         if now.saturating_sub(self.subset_chosen_at) >= SUBSET_INTERVAL {
             self.update_agents_in_use(now);
+            self.refresh_speeds(now);
         }
         self.update_demand(now);
         self.stop_stuck_runs(now);
--- a/crates/bulrushlatch_node/src/entry/flags.rs
+++ b/crates/bulrushlatch_node/src/entry/flags.rs
@@ -48,6 +48,8 @@
         /// Refusal of waiting jobs that cannot start in time, and a reserve for urgent jobs that follows
         /// their demand: on or off (default off)
         optional --shortage-policy switch: String
+        /// Whether tasks are placed by the speed of targets where it differs: on or off (default on)
+        optional --speed-placement switch: String
         /// Time between SIGTERM and SIGKILL, in s (default 6)
         optional --grace-s seconds: String
         /// Format of log lines: text or json (default json)
@@ -79,6 +81,7 @@
     pub delegation_busy_percent: Option<String>,
     pub demand_exchange: Option<String>,
     pub shortage_policy: Option<String>,
+    pub speed_placement: Option<String>,
     pub grace_s: Option<String>,
     pub log_format: Option<String>,
     pub log_level: Option<String>,
--- a/crates/bulrushlatch_node/src/settings.rs
+++ b/crates/bulrushlatch_node/src/settings.rs
@@ -47,16 +47,6 @@
     pub log_level: String,
 }
 
-/// Value of a setting that switches something on or off.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumString)]
-#[strum(serialize_all = "snake_case")]
-pub enum Switch {
-    /// Switched on.
-    On,
-    /// Switched off.
-    Off,
-}
-
 /// Settings of an entry.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
@@ -73,12 +63,14 @@
     /// Rate at which the store's responses are read; `None` if not limited.
     pub store_read_rate: Option<ReadRate>,
     /// Whether a part of the jobs is refused while the processor is too busy.
-    pub overload_control: Switch,
+    pub overload_control: bool,
     /// Settings of delegation; `None` to neither delegate jobs nor take those of other entries.
     pub delegation: Option<DelegationSettings>,
     /// Whether waiting jobs that cannot start in time are refused, and the reserve for urgent jobs
     /// follows their demand.
-    pub shortage_policy: Switch,
+    pub shortage_policy: bool,
+    /// Whether tasks are placed by the speed of targets where it differs.
+    pub speed_placement: bool,
 }
 
 /// Settings of an agent.
@@ -135,14 +127,6 @@
     list.first().copied().unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0)))
 }
 
-/// Reads a setting that is `on` or `off`; the default is `off`.
-fn read_switch(reader: &mut SettingsReader, flag: &str, given: Option<String>) -> bool {
-    let value: String = reader.optional(flag, given, "off".to_owned());
-    let is_valid = matches!(value.as_str(), "on" | "off");
-    reader.check(is_valid, &format!("--{flag} must be on or off"));
-    value == "on"
-}
-
 fn read_common(reader: &mut SettingsReader, flags: CommonFlags) -> CommonSettings {
     let resend_after =
         reader.millis("resend-after-ms", flags.resend_after_ms, DEFAULT_RESEND_AFTER);
@@ -171,7 +155,7 @@
         store: read_address(reader, "store", flags.store),
         metrics_listen: metrics_listen.first().copied(),
         timing,
-        demand_exchange: read_switch(reader, "demand-exchange", flags.demand_exchange),
+        demand_exchange: read_switch(reader, "demand-exchange", flags.demand_exchange, false),
         grace: Duration::from_secs_f64(grace_s.max(1.0)),
         log_format: reader.optional("log-format", flags.log_format, LogFormat::Json),
         log_level: reader.optional("log-level", flags.log_level, "info".to_owned()),
@@ -192,13 +176,26 @@
     busy_percent: Option<String>,
 ) -> Option<DelegationSettings> {
     let default = DelegationSettings::default();
-    let mode: String = reader.optional("delegation", delegation, "off".to_owned());
-    reader.check(matches!(&*mode, "on" | "off"), "--delegation must be on or off");
+    let is_on = read_switch(reader, "delegation", delegation, false);
     let default_percent = default.busy_threshold * 100.0;
     let percent: f64 = reader.optional("delegation-busy-percent", busy_percent, default_percent);
     let is_valid = (0.0..=100.0).contains(&percent);
     reader.check(is_valid, "--delegation-busy-percent must be a number from 0 to 100");
-    (mode == "on").then_some(DelegationSettings { busy_threshold: percent / 100.0 })
+    is_on.then_some(DelegationSettings { busy_threshold: percent / 100.0 })
+}
+
+/// Reads a setting that is `on` or `off`.
+fn read_switch(
+    reader: &mut SettingsReader,
+    flag: &str,
+    given: Option<String>,
+    default: bool,
+) -> bool {
+    let default = if default { "on" } else { "off" };
+    let value: String = reader.optional(flag, given, default.to_owned());
+    let is_valid = matches!(value.as_str(), "on" | "off");
+    reader.check(is_valid, &format!("--{flag} must be on or off"));
+    value == "on"
 }
 
 impl EntrySettings {
@@ -215,11 +212,13 @@
         let link_address = reader.optional("link-address", flags.link_address, link_listen);
         let store_read_rate = read_store_rate(&mut reader, flags.link_mbps);
         let overload_control =
-            reader.optional("overload-control", flags.overload_control, Switch::On);
+            read_switch(&mut reader, "overload-control", flags.overload_control, true);
         let delegation =
             read_delegation(&mut reader, flags.delegation, flags.delegation_busy_percent);
         let shortage_policy =
-            reader.optional("shortage-policy", flags.shortage_policy, Switch::Off);
+            read_switch(&mut reader, "shortage-policy", flags.shortage_policy, false);
+        let speed_placement =
+            read_switch(&mut reader, "speed-placement", flags.speed_placement, true);
         let common = read_common(&mut reader, common_flags!(flags));
         reader.finish(Self {
             common,
@@ -231,6 +230,7 @@
             overload_control,
             delegation,
             shortage_policy,
+            speed_placement,
         })
     }
 }
