--- a/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -57,6 +57,8 @@
     pub is_cordoned: bool,
     /// Last received profile of the agent's target.
     pub profile: Profile,
+    /// Whether the profile's zone is the entry's own.
+    pub is_in_own_zone: bool,
     /// Number of the profile's service; `None` before the first profile.
     pub service: Option<ServiceNumber>,
     /// Last received offer.
@@ -93,6 +95,7 @@
             is_in_use: false,
             is_cordoned: false,
             profile: Profile::default(),
+            is_in_own_zone: false,
             service: None,
             offer: Offer::default(),
             received_at: now,
@@ -177,9 +180,10 @@
     }
 
     /// Returns whether a frame arrived recently on an open link.
+    #[inline]
     pub fn is_fresh(&self, now: BootTime, timing: &Timing) -> bool {
-        let age = now.saturating_sub(self.received_at);
-        self.link.is_some() && self.is_synced && age * FRESH_DIVISOR <= timing.contact_limit
+        let limit = timing.contact_limit / FRESH_DIVISOR;
+        self.link.is_some() && self.is_synced && now.saturating_sub(self.received_at) <= limit
     }
 
     /// Returns whether the agent's state is known well enough to choose it for placement.
--- a/crates/bulrushlatch_dispatch/src/entry/agents.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agents.rs
@@ -76,7 +76,7 @@
                 link: view.link?,
                 rank: view.rank,
                 service: &view.profile.service,
-                is_in_own_zone: view.profile.zone == self.zone,
+                is_in_own_zone: view.is_in_own_zone,
                 cpu_millis: view.profile.total.cpu_millis,
             })
         });
--- a/crates/bulrushlatch_dispatch/src/entry/completion.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/completion.rs
@@ -233,7 +233,7 @@
             _ => {}
         }
         if matches!(answer, Answer::Completed | Answer::Failed) {
-            self.answer_cache.insert(now, id.clone(), answer);
+            self.answer_cache.insert(now, id, answer);
         }
         for caller in job.callers {
             self.callers.remove(&caller);
--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -96,7 +96,7 @@
             free: view.free(),
             total: view.profile.total,
             labels: &view.profile.labels,
-            is_in_own_zone: view.profile.zone == self.zone,
+            is_in_own_zone: view.is_in_own_zone,
             slowness: view.slowness,
             same_step_runs: match step.max_per_target {
                 Some(_) => view.count_runs(&key.job, key.step),
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -275,6 +275,7 @@
         let undelivered = view.receive(now, &frame);
         if frame.profile.is_some() {
             view.is_cordoned = self.cordons.contains(&view.profile.zone);
+            view.is_in_own_zone = view.profile.zone == self.zone;
             view.service = self.services.add(&view.profile.service);
         }
         if view.has_pending_frame() {
--- a/crates/bulrushlatch_node/src/link.rs
+++ b/crates/bulrushlatch_node/src/link.rs
@@ -1,6 +1,8 @@
 //! Links between processes: length-prefixed frames over TCP, encoded with postcard.
 
-use std::{cell::Cell, net::SocketAddr, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, future::poll_fn, net::SocketAddr, task::Poll, time::Duration,
+};
 
 use bulrushlatch_dispatch::{
     cordon::CordonNotice,
@@ -11,7 +13,7 @@
         EntryFrame, FrameVersion, Hello, NEWEST_FRAME_VERSION, OLDEST_FRAME_VERSION, PeerFrame,
     },
 };
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{FutureExt, SinkExt, StreamExt};
 use hyper::body::Bytes;
 use serde::{Deserialize, Serialize};
 use tokio::{
@@ -19,13 +21,10 @@
         TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    sync::mpsc,
+    sync::{mpsc, oneshot},
     time,
 };
-use tokio_util::{
-    codec::{FramedRead, FramedWrite, LengthDelimitedCodec},
-    sync::{CancellationToken, DropGuard},
-};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 /// Size limit of a frame, large enough for a configuration of thousands of routes.
 const MAX_FRAME_BYTES: usize = 16 << 20;
@@ -107,7 +106,7 @@
     /// Version of the frames that both ends speak.
     version: Cell<FrameVersion>,
     /// Ends the receiving half on drop, since it may be waiting on a connection that fell silent.
-    _closing: DropGuard,
+    _closing: oneshot::Sender<Infallible>,
 }
 
 impl LinkSender {
@@ -135,14 +134,20 @@
 #[derive(Debug)]
 pub struct LinkReceiver {
     frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
-    closed: CancellationToken,
+    /// Ends when the sending half is dropped. It is polled with each frame, so it takes no lock.
+    closed: oneshot::Receiver<Infallible>,
 }
 
 impl LinkReceiver {
     /// Returns the next frame, or `None` if the link is closed or a frame cannot be decoded.
     pub async fn receive(&mut self) -> Option<Frame> {
-        let next = self.closed.run_until_cancelled(self.frames.next());
-        let bytes = next.await??.ok()?;
+        let next = poll_fn(|context| {
+            if self.closed.is_terminated() || self.closed.poll_unpin(context).is_ready() {
+                return Poll::Ready(None);
+            }
+            self.frames.poll_next_unpin(context)
+        });
+        let bytes = next.await?.ok()?;
         match Frame::decode(&bytes) {
             Ok(frame) => Some(frame),
             Err(error) => {
@@ -194,12 +199,9 @@
     let frames = FramedRead::new(reader, codec.clone());
     let (sender, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
     tokio::task::spawn_local(write_frames(FramedWrite::new(writer, codec), queue));
-    let closed = CancellationToken::new();
-    let sender = LinkSender {
-        frames: sender,
-        version: Cell::new(OLDEST_FRAME_VERSION),
-        _closing: closed.clone().drop_guard(),
-    };
+    let (closing, closed) = oneshot::channel();
+    let sender =
+        LinkSender { frames: sender, version: Cell::new(OLDEST_FRAME_VERSION), _closing: closing };
     (sender, LinkReceiver { frames, closed })
 }
 
