--- a/crates/bulrushlatch_dispatch/src/entry/delegation/delegates.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/delegates.rs
@@ -91,6 +91,11 @@
         self.by_link.get(&link).is_some_and(|delegate| delegate.is_used)
     }
 
+    /// Returns the rate up to which a delegate last offered to take jobs.
+    pub fn offered_jobs_per_s(&self, link: LinkId) -> u64 {
+        self.by_link.get(&link).map_or(0, |delegate| delegate.max_jobs_per_s as u64)
+    }
+
     /// Returns the number of delegates in use.
     pub fn count_used(&self) -> usize {
         self.by_link.values().filter(|delegate| delegate.is_used).count()
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/origin.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/origin.rs
@@ -85,6 +85,7 @@
         tracing::info!(
             job = %request.job, peer, link, number, busy_percent,
             delegated_percent = (delegation.share.share() * 100.0) as u64,
+            offered_jobs_per_s = delegation.delegates.offered_jobs_per_s(link),
             at_ms = now.as_millis() as u64,
             "delegated"
         );
