Findings of the review: displaced jobs, demand after a pause, bounds

- A waiting job whose place another entry's task took was refused as too late with the next tick, since its queue rank is its arrival: the job's latest start decides now (test job_whose_place_was_taken_goes_on_waiting, red before).
- After a pause of the entry an agent was told up to the whole demand of all agents (327,680,000 in place of 24,279 thousandths of a core in the test, red before): the demand is spread over half of the targets in use at least.
- Sums of sizes saturate, the start queue holds 64 orders at most, idle routes are forgotten by the overload control, and the time since which a task is held is cleared with each placement.

--- a/crates/bulrushlatch_dispatch/src/agent/start_queue.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/start_queue.rs
@@ -20,6 +20,8 @@
 /// Largest CPU of the orders that wait, as a share of the target's CPU: about what is released
 /// within the wait.
 const MAX_SHARE: f64 = 0.25;
+/// Largest number of orders that wait, for tasks that need little or no CPU.
+const MAX_ORDERS: usize = 64;
 
 /// A start order that waits.
 #[derive(Clone, Debug)]
@@ -65,8 +67,10 @@
     /// Returns whether an order that needs `size` of a target with `total` may wait.
     fn accepts(&self, size: &Size, total: &Size) -> bool {
         let max_cpu_millis = (total.cpu_millis as f64 * MAX_SHARE) as u64;
-        let cpu_millis = self.size().cpu_millis + size.cpu_millis;
-        !self.max_wait.is_zero() && size.fits(total) && cpu_millis <= max_cpu_millis
+        let mut queued = self.size();
+        queued.add(size);
+        let has_room = queued.cpu_millis <= max_cpu_millis && self.starts.len() < MAX_ORDERS;
+        !self.max_wait.is_zero() && size.fits(total) && has_room
     }
 
     /// Removes and returns the order of an entry with the given number, if it waits.
--- a/crates/bulrushlatch_dispatch/src/entry/demand.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/demand.rs
@@ -91,6 +91,10 @@
     classes: Vec<ClassDemand>,
     /// CPU of the available targets, in thousandths of a core.
     total_cpu_millis: u64,
+    /// CPU of the targets over which the demand is spread, in thousandths of a core: the available
+    /// ones, but at least half of those in use. After a pause of this process most agents seem silent
+    /// until their frames have been read.
+    spread_cpu_millis: u64,
     /// Share of the released CPU; `None` while no summary counts.
     share: Option<DemandShare>,
     /// Ratio of the share to the even share in the last log line; 0 before the first.
@@ -121,7 +125,8 @@
 
     /// Returns the part of the demand that falls to a target with `cpu_millis`.
     fn part(&self, cpu_millis: u64) -> impl Iterator<Item = ClassDemand> + Clone + '_ {
-        let factor = cpu_millis as f64 / self.total_cpu_millis.max(1) as f64;
+        let spread_cpu_millis = self.spread_cpu_millis.max(cpu_millis).max(1);
+        let factor = cpu_millis as f64 / spread_cpu_millis as f64;
         self.classes.iter().map(move |class| class.scaled(factor))
     }
 
@@ -323,6 +328,10 @@
                 .filter(|view| view.is_available(now, &timing) && view.profile.service == *name);
             service.total_cpu_millis =
                 views.clone().map(|view| view.profile.total.cpu_millis).sum();
+            let in_use = self.agents.values().filter(|view| view.is_in_use);
+            let in_use = in_use.filter(|view| view.profile.service == *name);
+            let in_use_cpu_millis: u64 = in_use.map(|view| view.profile.total.cpu_millis).sum();
+            service.spread_cpu_millis = service.total_cpu_millis.max(in_use_cpu_millis / 2);
             let (mut sum, mut known_cpu_millis) = (0.0, 0.0);
             for view in views {
                 let cpu_millis = view.profile.total.cpu_millis;
--- a/crates/bulrushlatch_dispatch/src/entry/job_state.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/job_state.rs
@@ -24,6 +24,8 @@
     pub arrived_at: BootTime,
     /// Deadline of the caller that submitted the job first.
     pub deadline_at: BootTime,
+    /// Latest start of its initial tasks that meets the latency objective and the deadline.
+    pub latest_start_at: BootTime,
     /// When an answer is due by the route's latency objective.
     pub objective_at: BootTime,
     /// Time after which an answer is of no use.
--- a/crates/bulrushlatch_dispatch/src/entry/overload.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/overload.rs
@@ -45,6 +45,8 @@
 const SLACK_WEIGHT: f64 = 0.1;
 /// Time without a job after which a route no longer determines the target.
 const ROUTE_IDLE_LIMIT: Duration = Duration::from_secs(2);
+/// Time without a job after which a route is forgotten: routes are renamed and removed.
+const ROUTE_RETENTION: Duration = Duration::from_secs(60);
 /// Range of the random part of the retry delay when half of the jobs are refused.
 const RETRY_SPREAD: Duration = Duration::from_secs(2);
 
@@ -134,6 +136,7 @@
         for slack in self.routes.values_mut() {
             slack.idle = slack.idle.saturating_add(elapsed);
         }
+        self.routes.retain(|_, slack| slack.idle <= ROUTE_RETENTION);
         let seconds = elapsed.as_secs_f64();
         let change = if self.is_busy {
             let excess = self.ratio_to(self.shortest_target_delay()) - 1.0;
--- a/crates/bulrushlatch_dispatch/src/entry/shortage.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/shortage.rs
@@ -123,6 +123,7 @@
         let mut refusals = Refusals::default();
         let in_time = self.waiting.iter().take_while(|task| task.class != WaitClass::Late);
         let in_time: Vec<&WaitingTask> = in_time.collect();
+        let mut restarted: Vec<&JobId> = Vec::new();
         // Tasks of a job that has not started have the same rank, so they are adjacent.
         for tasks in in_time.chunk_by(|a, b| a.key.job == b.key.job) {
             let Some(job) = self.jobs.get(&tasks[0].key.job) else { continue };
@@ -132,8 +133,16 @@
             }
             let Some(queue) = queues.get_mut(&job.route.service) else { continue };
             let cpu_millis = tasks.iter().map(|task| job.cpu_millis(&task.key)).sum();
-            let latest_start = tasks[0].due_at;
-            self.count_job(now, queue, job, cpu_millis, latest_start, &mut refusals);
+            let id = &tasks[0].key.job;
+            if restarted.contains(&id) {
+                queue.ahead_cpu_millis += cpu_millis;
+                continue;
+            }
+            // Tasks to be started again come first; other tasks of their jobs follow in their class.
+            if tasks[0].class == WaitClass::Restart {
+                restarted.push(id);
+            }
+            self.count_job(now, queue, job, cpu_millis, &mut refusals);
         }
         refusals
     }
@@ -158,15 +167,15 @@
         queue: &mut ServiceQueue,
         job: &JobState,
         cpu_millis: u64,
-        latest_start: BootTime,
         refusals: &mut Refusals,
     ) {
         if job.may_have_run() {
             queue.ahead_cpu_millis += cpu_millis;
             return;
         }
-        let max_wait = latest_start.saturating_sub(job.arrived_at);
-        let remaining = (latest_start + max_wait.mul_f64(START_TOLERANCE)).saturating_sub(now);
+        let max_wait = job.latest_start_at.saturating_sub(job.arrived_at);
+        let remaining =
+            (job.latest_start_at + max_wait.mul_f64(START_TOLERANCE)).saturating_sub(now);
         let may_use_reserve = self.is_most_urgent(&job.route);
         let wait = queue.wait(cpu_millis, may_use_reserve);
         let route = &job.route.name;
--- a/crates/bulrushlatch_dispatch/src/entry/speed_placement.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/speed_placement.rs
@@ -138,6 +138,8 @@
         expected: Duration,
         sensitivity: f64,
     ) -> Duration {
+        let held_since =
+            self.jobs.get_mut(&key.job).and_then(|job| job.task_mut(key)?.held_since.take());
         let Some(view) = self.agents.get(agent) else { return expected };
         let Some(speeds) = self.speeds.get_mut(&view.profile.service) else { return expected };
         if !speeds.are_unequal() {
@@ -149,7 +151,6 @@
         let Some(step) = job.request.steps.get(key.step as usize) else { return run_time };
         let core_s = step.size.cpu_millis as f64 * 1e-3 * expected.as_secs_f64();
         speeds.record_placement(core_s, sensitivity);
-        let held_since = job.task_mut(key).and_then(|task| task.held_since.take());
         if let Some(held_since) = held_since {
             speeds.record_fast_wait(now.saturating_sub(held_since));
         }
--- a/crates/bulrushlatch_dispatch/src/entry/submission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/submission.rs
@@ -162,11 +162,13 @@
                 return;
             }
         };
+        let deadline_at = remaining_time.map_or(BootTime::MAX, |remaining| now + remaining);
         let state = JobState {
             steps: TaskState::for_steps(&request),
             callers: vec![caller],
             arrived_at: now,
-            deadline_at: remaining_time.map_or(BootTime::MAX, |remaining| now + remaining),
+            deadline_at,
+            latest_start_at: (now + demand.max_wait).min(deadline_at),
             objective_at: now + times.objective,
             useful_until: now + times.useful,
             class,
@@ -176,12 +178,12 @@
             request,
             route,
         };
-        self.queue_job(now, state, now + demand.max_wait);
+        self.queue_job(now, state);
     }
 
     /// Opens an accepted job and places its initial tasks as far as there is capacity.
-    fn queue_job(&mut self, now: BootTime, mut job: JobState, latest_start: BootTime) {
-        let due_at = if job.is_late() { job.useful_until } else { latest_start };
+    fn queue_job(&mut self, now: BootTime, mut job: JobState) {
+        let due_at = if job.is_late() { job.useful_until } else { job.latest_start_at };
         let due_at = due_at.min(job.deadline_at);
         let class = job.class;
         for key in job.unblock_tasks() {
--- a/crates/bulrushlatch_dispatch/src/job.rs
+++ b/crates/bulrushlatch_dispatch/src/job.rs
@@ -82,9 +82,7 @@
     pub fn initial_demand(&self) -> Size {
         let mut demand = Size::default();
         for step in self.steps.iter().filter(|step| step.depends_on.is_empty()) {
-            demand.cpu_millis += step.size.cpu_millis * u64::from(step.tasks);
-            demand.memory_mb += step.size.memory_mb * u64::from(step.tasks);
-            demand.accelerators += step.size.accelerators * u64::from(step.tasks);
+            demand.add(&step.size.saturating_mul(u64::from(step.tasks)));
         }
         demand
     }
--- a/crates/bulrushlatch_dispatch/src/size.rs
+++ b/crates/bulrushlatch_dispatch/src/size.rs
@@ -22,11 +22,20 @@
             && self.accelerators <= available.accelerators
     }
 
-    /// Adds `other` to each resource.
+    /// Adds `other` to each resource; no resource exceeds the largest value.
     pub fn add(&mut self, other: &Self) {
-        self.cpu_millis += other.cpu_millis;
-        self.memory_mb += other.memory_mb;
-        self.accelerators += other.accelerators;
+        self.cpu_millis = self.cpu_millis.saturating_add(other.cpu_millis);
+        self.memory_mb = self.memory_mb.saturating_add(other.memory_mb);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
+    }
+
+    /// Returns `count` times this amount; no resource exceeds the largest value.
+    pub fn saturating_mul(&self, count: u64) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
     }
 
     /// Returns this amount less `other`; no resource goes below zero.
--- a/crates/bulrushlatch_dispatch/tests/entry_demand.rs
+++ b/crates/bulrushlatch_dispatch/tests/entry_demand.rs
@@ -134,6 +134,21 @@
 }
 
 /// Cut link: the last statement may be lost with it.
+/// After a pause of the entry's process all agents seem silent until their frames have been read. A
+/// statement in that moment must not claim the whole demand of each of them.
+#[test]
+fn demand_stated_after_a_pause_is_not_that_of_all_agents_together() {
+    let mut fixture = fixture(true);
+    let before = submit_steadily(&mut fixture, 10..110);
+    let before: u64 = [1, 2].map(|link| demand_by_link(&before, link)).iter().sum();
+    fixture.now += ms(250);
+    fixture.entry.tick(fixture.now);
+    fixture.entry.frames(fixture.now);
+    let after = fixture.entry.take_demand_statements();
+    let after: u64 = [1, 2].map(|link| demand_by_link(&after, link)).iter().sum();
+    assert!(after <= before * 2, "{after} after {before}");
+}
+
 #[test]
 fn demand_is_stated_again_on_a_new_link() {
     let mut fixture = fixture(true);
--- a/crates/bulrushlatch_dispatch/tests/shortage.rs
+++ b/crates/bulrushlatch_dispatch/tests/shortage.rs
@@ -7,7 +7,7 @@
 use bulrushlatch_dispatch::{
     entry::{Submission, served_shares::ServedShares},
     ids::{CallerId, RouteName},
-    outcome::{Answer, Refusal},
+    outcome::{Answer, Obstacle, Refusal, RunOutcome},
     routing::{Route, RoutingTable},
 };
 
@@ -49,6 +49,24 @@
     assert_eq!(refused_within_200_ms(false), [false; 3]);
 }
 
+/// Another entry's task took the place first. The latest start is still far away, so that the job must
+/// go on waiting, whatever the rank at which its task is queued again.
+#[test]
+fn job_whose_place_was_taken_goes_on_waiting() {
+    let mut fixture = busy_fixture(true);
+    let caller = fixture.submit(job("job", 1, 2_000, LONG), "slow");
+    fixture.agents[0].offer.free.cpu_millis = 2_000;
+    fixture.advance(ms(20));
+    let starts = fixture.agents[0].take_starts();
+    fixture.agents[0].offer.free.cpu_millis = 0;
+    let obstacle = RunOutcome::NotStarted(Obstacle::NoCapacity);
+    let report = fixture.agents[0].report(&starts[0], obstacle, 0);
+    fixture.receive_frame(0, vec![report]);
+    fixture.advance(ms(40));
+    assert_eq!(fixture.answers, Vec::new());
+    assert_eq!(fixture.entry.counters().late_refusals, 0, "{caller}");
+}
+
 /// An answer "not run" must be true.
 #[test]
 fn job_that_has_begun_is_not_refused() {
