Names and comments of the new entry code say what they mean

Names such as owes_reply, tells_zone, state_to and sort_delegated_jobs did not say what the code does; some comments restated a name, spoke of one benchmark's figures or described another type. The busy percentage and the limit on log lines about invalid demand were each written twice.

--- a/crates/bulrushlatch_dispatch/src/agent/demand.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/demand.rs
@@ -165,8 +165,7 @@
         if !statement.is_valid(total_cpu_millis) {
             self.counters.invalid_demand += 1;
             let invalid = self.counters.invalid_demand;
-            // The count doubles between two lines, which bounds their number.
-            if invalid.is_power_of_two() {
+            if demand::is_invalid_logged(invalid) {
                 tracing::info!(%entry, link, invalid, "invalid statement of demand dropped");
             }
             return;
--- a/crates/bulrushlatch_dispatch/src/agent/start_queue.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/start_queue.rs
@@ -71,8 +71,8 @@
 
     /// Removes and returns the order of an entry with the given number, if it waits.
     fn remove(&mut self, entry: &ProcessId, order: OrderNumber) -> Option<QueuedStart> {
-        let is_it = |queued: &QueuedStart| queued.entry == *entry && queued.order == order;
-        let position = self.starts.iter().position(is_it)?;
+        let is_match = |queued: &QueuedStart| queued.entry == *entry && queued.order == order;
+        let position = self.starts.iter().position(is_match)?;
         self.starts.remove(position)
     }
 }
--- a/crates/bulrushlatch_dispatch/src/demand.rs
+++ b/crates/bulrushlatch_dispatch/src/demand.rs
@@ -92,6 +92,12 @@
     }
 }
 
+/// Returns whether the drop of the invalid message with this number, counted from 1, is logged. The
+/// number doubles between two lines, which bounds the lines that a faulty peer causes.
+pub fn is_invalid_logged(number: u64) -> bool {
+    number.is_power_of_two()
+}
+
 fn are_valid(classes: &[ClassDemand], total_cpu_millis: u64) -> bool {
     let limit = max_cpu_millis(total_cpu_millis);
     let is_within_limit = |class: &ClassDemand| {
--- a/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -5,7 +5,6 @@
     time::Duration,
 };
 
-use super::service_numbers::ServiceNumber;
 use crate::{
     clock::BootTime,
     frame::{
@@ -23,6 +22,7 @@
         proofs::{LivenessProofs, OriginId},
     },
     demand::AgentDemand,
+    service_numbers::ServiceNumber,
     stamps::StampHistory,
     target_speed::TargetSpeed,
 };
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/delegate.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/delegate.rs
@@ -76,7 +76,7 @@
         let peer = self.delegation.peers.get(&link).map(|peer| peer.process.name.as_str());
         tracing::info!(
             %job, peer, link, number,
-            busy_percent = self.busy_percent(),
+            busy_percent = self.processor_load.busy_percent(),
             spare_jobs_per_s = self.spare_jobs_per_s(now),
             "accepted from another entry"
         );
@@ -92,11 +92,11 @@
         self.submit(now, Submission { caller, route, request, remaining_time });
     }
 
-    /// Ends a job that another caller waits for than the one whose job has arrived; returns whether
-    /// there was one.
+    /// Ends the job with this id if it is open for a caller other than the one at the other end of
+    /// `link`; returns whether it was.
     ///
-    /// The runs of a job are bound to the liveness of one origin, so that callers at different entries
-    /// cannot share it. Such a job is left from a caller whose connection has broken.
+    /// The runs of a job are bound to the liveness of one origin, so callers at different entries cannot
+    /// share it. The earlier caller's connection has broken, since callers submit a job again only then.
     fn end_conflicting_job(&mut self, now: BootTime, link: LinkId, job: &JobId) -> bool {
         if self.delegation.outgoing.contains(job) {
             self.delegation.outgoing.cancel(job, Answer::Interrupted);
@@ -174,8 +174,9 @@
         self.place_waiting_tasks(now);
     }
 
-    /// Binds the runs that are left of a job to what is known now of the life of its origin. They are
-    /// being stopped; only if a stop is not confirmed does the bound come into effect.
+    /// Fixes the liveness proof to which the remaining runs of a job are bound, since the caller may
+    /// submit the job again from now on. The runs are being stopped; the bound takes effect only if a stop
+    /// is not confirmed.
     pub(in super::super) fn fix_origin_proof(&mut self, job: &JobId, answer: Answer) {
         // A completed job has no run.
         if answer == Answer::Completed || self.delegation.proofs.is_empty() {
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/exchange.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/exchange.rs
@@ -15,9 +15,11 @@
 /// Interval after which a reply is asked for again while a delegate is in use. It is checked at each
 /// tick of 20 ms, so that two frames are 40 ms apart.
 const ASK_INTERVAL: Duration = Duration::from_millis(30);
-/// Interval after which a frame that is sent anyway asks for a reply.
+/// Interval after which a frame that is sent anyway asks for a reply. It is below [`ASK_INTERVAL`], so
+/// that such frames take the place of those that would be sent only to ask.
 const EARLY_ASK_INTERVAL: Duration = Duration::from_millis(15);
-/// Largest rate that an offer may name.
+/// Largest valid rate in an offer, well above that of any entry. A larger one would give the origin a
+/// budget that no delegate can meet.
 const MAX_OFFERED_JOBS_PER_S: u32 = 100_000;
 
 impl Entry {
@@ -39,8 +41,8 @@
             stamp_ms: 0,
             received_at: now,
             asked_at: BootTime::ZERO,
-            owes_reply: false,
-            tells_zone: true,
+            is_reply_due: false,
+            is_zone_due: true,
             was_silent: false,
         };
         delegation.peers.insert(link, peer);
@@ -67,7 +69,7 @@
     /// Has the next frame to another entry tell this entry's zone and what it offers.
     pub fn advertise_to_peer(&mut self, link: LinkId) {
         if let Some(peer) = self.delegation.peers.get_mut(&link) {
-            peer.tells_zone = true;
+            peer.is_zone_due = true;
             self.delegation.has_pending = true;
         }
     }
@@ -89,7 +91,7 @@
         }
         peer.received_at = now;
         peer.stamp_ms = peer.stamp_ms.max(frame.stamp_ms);
-        peer.owes_reply |= frame.wants_reply;
+        peer.is_reply_due |= frame.wants_reply;
         let delegation = &mut self.delegation;
         delegation.has_pending |= frame.wants_reply;
         delegation.delegates.record_offer(now, link, frame.max_jobs_per_s, &frame.zone);
@@ -103,11 +105,11 @@
         for answer in &frame.answers {
             self.handle_delegated_answer(link, answer);
         }
-        self.sort_delegated_jobs(now, link, frame.jobs)
+        self.refuse_untaken_jobs(now, link, frame.jobs)
     }
 
-    /// Refuses the jobs that this entry does not take; returns the others.
-    fn sort_delegated_jobs(
+    /// Refuses the jobs that this entry does not take; returns those to decode and submit.
+    fn refuse_untaken_jobs(
         &mut self,
         now: BootTime,
         link: LinkId,
@@ -129,7 +131,7 @@
         tracing::info!(
             link,
             number = job.number,
-            busy_percent = self.busy_percent(),
+            busy_percent = self.processor_load.busy_percent(),
             proof_age_ms = now.saturating_sub(proof).as_millis() as u64,
             version = self.version(),
             job_version = job.version,
@@ -171,8 +173,8 @@
         }
         let due = self.delegation.peers.iter().filter(|(link, peer)| {
             let delegation = &self.delegation;
-            peer.owes_reply
-                || peer.tells_zone
+            peer.is_reply_due
+                || peer.is_zone_due
                 || delegation.outgoing.has_pending(**link)
                 || delegation.incoming.has_answers(**link)
                 || delegation.is_ask_due(now, **link, peer)
@@ -186,19 +188,19 @@
         let delegation = &mut self.delegation;
         let is_exchanging = delegation.is_exchanging(link);
         let peer = delegation.peers.get_mut(&link)?;
-        peer.owes_reply = false;
+        peer.is_reply_due = false;
         let wants_reply = is_exchanging && now.saturating_sub(peer.asked_at) >= EARLY_ASK_INTERVAL;
         if wants_reply {
             peer.asked_at = now;
         }
-        let tells_zone = std::mem::take(&mut peer.tells_zone);
+        let is_zone_due = std::mem::take(&mut peer.is_zone_due);
         let orders = delegation.outgoing.take_pending(link);
         Some(DelegationFrame {
             stamp_ms: now.as_millis() as u64,
             stamp_echo_ms: peer.stamp_ms,
             wants_reply,
             max_jobs_per_s,
-            zone: if tells_zone { delegation.zone.clone() } else { String::new() },
+            zone: if is_zone_due { delegation.zone.clone() } else { String::new() },
             jobs: orders.jobs,
             cancelled: orders.cancelled,
             answers: delegation.incoming.take_answers(link),
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/mod.rs
@@ -36,6 +36,7 @@
 use self::{
     delegates::Delegates,
     incoming::Incoming,
+    job_rate::JobRate,
     outgoing::Outgoing,
     proofs::{LivenessProofs, OriginId},
     share::{DEFAULT_THRESHOLD, DelegatedShare},
@@ -45,7 +46,8 @@
 /// Share of the contact limit beyond which the other end of a link counts as silent: the rest is left
 /// to confirm the stops of its runs.
 const SILENCE_SHARE: f64 = 0.5;
-/// Share of the contact limit beyond which a liveness proof is too old to start from.
+/// Share of the contact limit beyond which a liveness proof is too old for a new job: half of
+/// [`SILENCE_SHARE`], so that the job's origin does not count as silent soon after its arrival.
 const FRESH_SHARE: f64 = 0.25;
 
 /// Settings of delegation.
@@ -90,16 +92,16 @@
     received_at: BootTime,
     /// When a reply was last asked for.
     asked_at: BootTime,
-    /// Whether the other end has asked for a reply.
-    owes_reply: bool,
+    /// Whether the other end has asked for a reply that is not sent yet.
+    is_reply_due: bool,
     /// Whether the next frame tells this entry's zone.
-    tells_zone: bool,
+    is_zone_due: bool,
     /// Whether the link was silent at the last tick. A process that lacks CPU time finds its links
     /// silent before it has read them, so one observation is not enough.
     was_silent: bool,
 }
 
-/// State of delegation at one entry.
+/// State of delegation at one entry, as origin and as delegate.
 #[derive(Debug)]
 pub struct Delegation {
     is_enabled: bool,
@@ -107,14 +109,21 @@
     zone: ZoneName,
     /// Other entries by link, both those that may carry out jobs and those that may delegate them.
     peers: BTreeMap<LinkId, Peer>,
+    /// Share of the arriving jobs to delegate.
     share: DelegatedShare,
+    /// Entries that may carry out jobs of this entry's callers.
     delegates: Delegates,
+    /// Open jobs that others carry out.
     outgoing: Outgoing,
     /// Jobs that arrive from this entry's own callers.
-    arrivals: job_rate::JobRate,
+    arrivals: JobRate,
+    /// Open jobs of others.
     incoming: Incoming,
+    /// Liveness proofs of the origins of `incoming`.
     pub(super) proofs: LivenessProofs,
+    /// Rate of jobs that this entry can take from others.
     spare_rate: SpareRate,
+    /// When the shares and rates were last updated.
     updated_at: BootTime,
     /// Whether [`super::Entry::delegation_frames`] may have frames.
     has_pending: bool,
@@ -133,7 +142,7 @@
             share: DelegatedShare::new(DEFAULT_THRESHOLD),
             delegates: Delegates::new(zone.to_owned()),
             outgoing: Outgoing::default(),
-            arrivals: job_rate::JobRate::default(),
+            arrivals: JobRate::default(),
             incoming: Incoming::default(),
             proofs: LivenessProofs::default(),
             spare_rate: SpareRate::default(),
@@ -177,7 +186,7 @@
     }
 }
 
-/// Returns the age beyond which a liveness proof is too old to start from.
+/// Returns the age beyond which a liveness proof is too old for a new job.
 pub(super) fn fresh_limit(timing: &Timing) -> Duration {
     timing.contact_limit.mul_f64(FRESH_SHARE)
 }
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/origin.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/origin.rs
@@ -11,7 +11,8 @@
 
 use super::{super::Entry, DelegationCounters, fresh_limit, silence_limit};
 
-/// Added to the delegated share in the choice of delegates: what it rises by until the next choice.
+/// Added to the delegated share in the choice of delegates, since the share may rise until the next
+/// choice.
 const SHARE_MARGIN: f64 = 0.2;
 
 /// A submission that has not been decoded.
@@ -78,7 +79,7 @@
         version: u64,
         request: &DelegableRequest<'_>,
     ) {
-        let busy_percent = self.busy_percent();
+        let busy_percent = self.processor_load.busy_percent();
         let delegation = &mut self.delegation;
         let number = delegation.outgoing.next_number();
         let peer = delegation.peers.get(&link).map(|peer| peer.process.name.as_str());
@@ -211,12 +212,8 @@
         let used = delegation.delegates.count_used();
         if (used == 0) != (used_before == 0) {
             let jobs_per_s = delegation.arrivals.jobs_per_s(now) as u64;
-            let busy_percent = self.busy_percent();
+            let busy_percent = self.processor_load.busy_percent();
             tracing::info!(used, busy_percent, jobs_per_s, "use of delegates changed");
         }
     }
-
-    pub(super) fn busy_percent(&self) -> u64 {
-        (self.processor_load.busy_share() * 100.0) as u64
-    }
 }
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/outgoing.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/outgoing.rs
@@ -28,7 +28,7 @@
 
 /// The open delegated jobs.
 ///
-/// Each job is in both maps, each of its callers in `callers`.
+/// Each job is in `jobs` and in `numbers`, and each of its callers in `callers`.
 #[derive(Debug, Default)]
 pub struct Outgoing {
     jobs: BTreeMap<JobId, OutgoingJob>,
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/spare_rate.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/spare_rate.rs
@@ -20,16 +20,17 @@
 const TIME_CONSTANT: Duration = Duration::from_secs(3);
 /// Share of the spare rate that is offered at a time.
 const OFFERED_SHARE: f64 = 0.5;
-/// Lowest limit of the rate of jobs, and the limit at first.
+/// Lowest limit of the rate of jobs, and the initial one.
 const MIN_LIMIT_JOBS_PER_S: f64 = 40.0;
-/// Growth of the limit per second while the processor is not exhausted.
+/// Relative growth of the limit per second while the processor is not exhausted.
 const LIMIT_GROWTH_PER_S: f64 = 1.0;
-/// The same near the rate at which it was last exhausted.
+/// The same from [`LIMIT_SHARE`] of the rate on at which the processor was last exhausted.
 const SLOW_LIMIT_GROWTH_PER_S: f64 = 0.03;
-/// Share of that rate to which the limit falls, and from which on it grows slowly.
+/// Share of the rate at which the processor is exhausted to which the limit falls, and from which on
+/// it grows slowly.
 const LIMIT_SHARE: f64 = 0.85;
 
-/// Estimate of the busy time that a job takes.
+/// Estimate of how many more jobs per second an entry can carry out.
 #[derive(Clone, Copy, Debug)]
 pub struct SpareRate {
     /// Moving average of the busy time for a job, in seconds.
@@ -39,7 +40,8 @@
     /// Limit of the rate of jobs up to which others are offered any.
     ///
     /// On a VM whose quota is below one core the busy share is low until the quota is used up and then
-    /// rises at once, so that it does not show how much is spare. The limit finds out.
+    /// rises at once, so that it does not show how much is spare. The limit rises while it is used, and falls when
+    /// the processor is exhausted.
     limit_jobs_per_s: f64,
     /// Rate of jobs at which the processor was last exhausted.
     exhausting_jobs_per_s: f64,
--- a/crates/bulrushlatch_dispatch/src/entry/demand.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/demand.rs
@@ -23,7 +23,7 @@
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time in which an agent's share returns to the even share after its summary has expired.
 const RETURN_TIME: Duration = Duration::from_secs(1);
-/// Smallest share, in multiples of the even share: others may state too much.
+/// Smallest share, in multiples of the even share, since other entries may state too much.
 const MIN_EVEN_SHARES: f64 = 0.25;
 /// Factor by which the ratio of the share to the even share must change to be logged.
 const LOGGED_FACTOR: f64 = 1.5;
@@ -119,7 +119,8 @@
         }
     }
 
-    /// Returns the part of the demand that falls to a target with `cpu_millis`.
+    /// Returns the part of the demand that falls to a target with `cpu_millis`: its share of the CPU of
+    /// all available targets.
     fn part(&self, cpu_millis: u64) -> impl Iterator<Item = ClassDemand> + Clone + '_ {
         let factor = cpu_millis as f64 / self.total_cpu_millis.max(1) as f64;
         self.classes.iter().map(move |class| class.scaled(factor))
@@ -209,8 +210,8 @@
         self.services.get(service)?.share
     }
 
-    /// Adds the statement that is due to an agent to which a frame is about to be sent.
-    pub fn state_to(&mut self, now: BootTime, view: &mut AgentView) {
+    /// Adds the statement to an agent to which a frame is about to be sent, if one is due.
+    pub fn add_due_statement(&mut self, now: BootTime, view: &mut AgentView) {
         let is_understood = view.version() >= DEMAND_FRAME_VERSION;
         if !self.is_on || !view.is_in_use || !is_understood {
             return;
@@ -255,8 +256,7 @@
         if !summary.is_valid(view.profile.total.cpu_millis) {
             self.counters.invalid_demand += 1;
             let invalid = self.counters.invalid_demand;
-            // The count doubles between two lines, which bounds their number.
-            if invalid.is_power_of_two() {
+            if demand::is_invalid_logged(invalid) {
                 tracing::info!(%agent, link, invalid, "invalid summary of demand dropped");
             }
             return;
@@ -333,9 +333,9 @@
                     known_cpu_millis += known;
                 }
             }
-            let least = even_share * MIN_EVEN_SHARES;
+            let min_share = even_share * MIN_EVEN_SHARES;
             service.share = (known_cpu_millis > 0.0).then(|| DemandShare {
-                share: (sum / known_cpu_millis).clamp(least, 1.0),
+                share: (sum / known_cpu_millis).clamp(min_share, 1.0),
                 weight: known_cpu_millis / service.total_cpu_millis as f64,
             });
             service.log_share(now, name, even_share);
--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -48,15 +48,17 @@
 /// What becomes of a task in the queue.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum QueueAction {
+    /// The task leaves the queue: it is placed, or its job has ended.
     Remove,
     /// The task stays for lack of capacity.
     Keep,
-    /// The task stays to wait for a fast target.
+    /// The task stays to wait for a fast target although others have room.
     Hold,
 }
 
 impl Entry {
-    /// Places waiting tasks in the order of the queue until [`MAX_MISSES`] of them find no agent.
+    /// Places waiting tasks in the order of the queue until [`MAX_MISSES`] of them find no agent, or
+    /// [`MAX_HELD_STEPS`] steps wait for a fast target.
     pub(super) fn place_waiting_tasks(&mut self, now: BootTime) {
         self.is_placement_due = false;
         let mut after: Option<WaitingTask> = None;
@@ -74,11 +76,9 @@
             let is_same_step =
                 |held: &TaskKey| held.job == next.key.job && held.step == next.key.step;
             if !held.as_ref().is_some_and(is_same_step) {
-                let action = if !is_check_due && self.is_held(&next.key) {
-                    QueueAction::Hold
-                } else {
-                    self.place_task(now, &next.key)
-                };
+                let stays_held = !is_check_due && self.is_held(&next.key);
+                let action =
+                    if stays_held { QueueAction::Hold } else { self.place_task(now, &next.key) };
                 match action {
                     QueueAction::Remove => {
                         self.waiting.remove(&next);
@@ -224,7 +224,7 @@
         for job in self.jobs.values() {
             for (number, step) in job.request.steps.iter().enumerate() {
                 // No run of the step has lasted longer than the job has been open.
-                if now.saturating_sub(job.arrived_at) <= least_stuck_limit(step) {
+                if now.saturating_sub(job.arrived_at) <= min_stuck_limit(step) {
                     continue;
                 }
                 for index in 0..step.tasks {
@@ -257,7 +257,7 @@
             return None;
         }
         let step = job.request.steps.get(key.step as usize)?;
-        if now.saturating_sub(*placed_at) <= least_stuck_limit(step) {
+        if now.saturating_sub(*placed_at) <= min_stuck_limit(step) {
             return None;
         }
         let expected = self.run_times.expected(&job.route.name, step.estimate).max(step.estimate);
@@ -294,6 +294,6 @@
 }
 
 /// Returns the shortest time limit that a run of the step can have, whatever has been learned.
-fn least_stuck_limit(step: &Step) -> Duration {
+fn min_stuck_limit(step: &Step) -> Duration {
     step.estimate.mul_f64(STUCK_FACTOR) + STUCK_MARGIN
 }
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -13,7 +13,7 @@
 //! - [`placement`]: chooses the agent that starts a task
 //! - [`overload`]: refuses jobs for lack of processor time
 //! - [`delegation`]: jobs that other entries carry out, and jobs carried out for them
-//! - [`processor_load`]: how much of its VM's processor the entry uses
+//! - [`processor_load`]: busy share of the entry's thread, and the delay of events in its queue
 //! - [`target_speed`]: learned speeds of targets
 //! - `speed_placement`: use of targets' speeds where they differ
 //! - [`subset`]: chooses the agents that an entry uses
@@ -127,7 +127,7 @@
     demands: RouteDemands,
     /// Load of the jobs of each service, accepted or not.
     offered_loads: BTreeMap<ServiceName, OfferedLoad>,
-    /// Demand exchanged with agents.
+    /// State of the exchange of demand with agents.
     demand: DemandExchange,
     /// Number of entries that share the targets, this one included.
     entry_count: u32,
@@ -135,7 +135,7 @@
     processor_load: ProcessorLoad,
     overload: OverloadControl,
     /// Whether waiting jobs are looked at again each tick, and the reserve follows the demand.
-    shortage_policy: bool,
+    is_shortage_policy_on: bool,
     /// How often the routes of each service are served.
     served_shares: BTreeMap<ServiceName, ServedShares>,
     /// Demand of the most urgent routes of each service.
@@ -186,7 +186,7 @@
             is_shutting_down: false,
             processor_load: ProcessorLoad::default(),
             overload: OverloadControl::default(),
-            shortage_policy: false,
+            is_shortage_policy_on: false,
             served_shares: BTreeMap::new(),
             urgent_demands: BTreeMap::new(),
             spare_seen_at: BTreeMap::new(),
@@ -286,7 +286,7 @@
             self.agents_with_orders.clear();
             let frames = self.agents.values_mut().filter_map(|view| {
                 let frame = view.frame(now, &timing, &self.delegation.proofs)?;
-                self.demand.state_to(now, view);
+                self.demand.add_due_statement(now, view);
                 Some(frame)
             });
             return frames.collect();
@@ -295,7 +295,7 @@
         for agent in self.agents_with_orders.drain(..) {
             let Some(view) = self.agents.get_mut(&agent) else { continue };
             if let Some(frame) = view.frame(now, &timing, &self.delegation.proofs) {
-                self.demand.state_to(now, view);
+                self.demand.add_due_statement(now, view);
                 frames.push(frame);
             }
         }
--- a/crates/bulrushlatch_dispatch/src/entry/placement.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/placement.rs
@@ -17,13 +17,13 @@
 /// Weight of the risk that a task is late against the free share of a target's CPU. Above 1, a target
 /// that makes the task late is chosen only if no other has room.
 const RISK_SCORE_WEIGHT: f64 = 2.0;
-/// Weight of a target's slowness in favour of tasks that meet their objective there, if all other
+/// Weight of a target's slowness in favor of tasks that meet their objective there, if all other
 /// work needs fast targets.
 const RELIEF_SCORE_WEIGHT: f64 = 1.0;
-/// Largest logarithm of a speed's ratio to the mean that is counted for relief.
+/// Largest logarithm of a speed's ratio to the mean that counts for relief: a factor of two.
 const MAX_RELIEF_LOG_RATIO: f64 = 0.7;
 /// Difference in risk from which on a task waits for a fast target. At 0.1, so many tasks wait under
-/// load that short ones become late.
+/// load that short jobs behind them become late.
 const MIN_WAIT_GAIN: f64 = 0.25;
 /// Steepness of the logistic function that is closest to the normal distribution function.
 const LOGISTIC_STEEPNESS: f64 = 1.702;
--- a/crates/bulrushlatch_dispatch/src/entry/processor_load.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/processor_load.rs
@@ -1,4 +1,4 @@
-//! How much of its VM's processor a process uses.
+//! Busy share of a process's only thread, and the delay of events in its queue.
 
 use std::time::Duration;
 
@@ -43,6 +43,11 @@
         self.busy_share
     }
 
+    /// Returns the recent busy share in percent, for log lines and metrics.
+    pub fn busy_percent(&self) -> u64 {
+        (self.busy_share * 100.0) as u64
+    }
+
     /// Returns the expected time that an event, such as a request, waits before the thread handles
     /// it.
     pub fn queueing_delay(&self) -> Duration {
--- a/crates/bulrushlatch_dispatch/src/entry/reserve.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/reserve.rs
@@ -15,16 +15,13 @@
 const DEFAULT_SHARE: f64 = 0.06;
 /// Largest reserve, as a share of the capacity.
 const MAX_SHARE: f64 = 0.25;
-/// Standard deviations of the urgent demand that the reserve of an entry alone covers. Urgent jobs
-/// also get most of what ending runs release, as they are due first: in a burst of long jobs
-/// (tests/load/shortage.rs) half a deviation served as many of them in time as 6% of the capacity
-/// did, one deviation cost the other routes more than it brought, and none left up to 0.04 of them
-/// more unserved.
+/// Standard deviations of the urgent demand that the reserve of a single entry covers. Urgent jobs also
+/// get most of what ending runs release, as they are due first, so a whole deviation costs the other
+/// routes more than it serves. docs/design/overload-control.md has the measurements.
 const DEVIATIONS: f64 = 0.5;
-/// The same for entries that share targets: none sees what the others have just started. Half a
-/// deviation served 0.02 fewer of a fleet's urgent jobs than 6% did, one 0.07 more under a shortage.
+/// The same for entries that share targets, of which none sees what the others have just started.
 const SHARED_DEVIATIONS: f64 = 1.0;
-/// Entries at each target from which on targets count as shared.
+/// Entries at each target from which on targets count as shared; the number is an average.
 const MIN_SHARING_ENTRIES: f64 = 1.5;
 /// Weight of a new job in the averages.
 const JOB_WEIGHT: f64 = 0.05;
@@ -112,7 +109,7 @@
         run_time: Duration,
         max_wait: Duration,
     ) {
-        if !self.shortage_policy || !self.is_most_urgent(route) {
+        if !self.is_shortage_policy_on || !self.is_most_urgent(route) {
             return;
         }
         if let Some(demand) = self.urgent_demands.get_mut(&route.service) {
--- a/crates/bulrushlatch_dispatch/src/entry/shortage.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/shortage.rs
@@ -24,9 +24,12 @@
 /// Part of the longest wait of a job by which the expected start may exceed its latest start before
 /// the job is refused: what admission leaves for errors of the same estimate.
 const START_TOLERANCE: f64 = 0.25;
-/// Smallest random part of a retry delay.
+/// Smallest range of the random part of a retry delay, so that refused callers do not return at once.
 const MIN_RETRY_SPREAD: Duration = Duration::from_secs(2);
 
+/// Longest time in seconds that is computed from a rate, which may be close to zero.
+const MAX_WAIT_S: f64 = 1e3;
+
 /// A job in the queue.
 #[derive(Clone, Debug)]
 struct QueuedJob {
@@ -53,12 +56,13 @@
 }
 
 impl ServiceQueue {
-    /// Returns the expected time until `cpu_millis` more can start after all that is ahead.
+    /// Returns the expected time until `cpu_millis` more can start after all that is ahead, at most
+    /// [`MAX_WAIT_S`].
     fn wait(&self, cpu_millis: u64, may_use_reserve: bool) -> Duration {
         let reserve = if may_use_reserve { 0 } else { self.reserve_cpu_millis };
         let free = self.free_cpu_millis.saturating_sub(reserve);
         let missing = (self.ahead_cpu_millis + cpu_millis).saturating_sub(free) as f64;
-        Duration::from_secs_f64((missing / self.released_cpu_millis_per_s.max(1.0)).min(1e3))
+        Duration::from_secs_f64((missing / self.released_cpu_millis_per_s.max(1.0)).min(MAX_WAIT_S))
     }
 }
 
@@ -73,13 +77,13 @@
 
 impl Entry {
     /// Switches the shortage policy and the reserve that follows the demand on or off.
-    pub fn set_shortage_policy(&mut self, is_enabled: bool) {
-        self.shortage_policy = is_enabled;
+    pub fn set_shortage_policy(&mut self, is_on: bool) {
+        self.is_shortage_policy_on = is_on;
     }
 
     /// Adds an arriving job to the shares that are served.
     pub(super) fn record_arrived_share(&mut self, now: BootTime, route: &Route, cpu_millis: u64) {
-        if !self.shortage_policy {
+        if !self.is_shortage_policy_on {
             return;
         }
         if !self.served_shares.contains_key(&route.service) {
@@ -104,7 +108,7 @@
 
     /// Refuses waiting jobs that cannot start in time, and jobs that make way for more urgent ones.
     pub(super) fn refuse_unserveable_jobs(&mut self, now: BootTime) {
-        if !self.shortage_policy || self.waiting.is_empty() {
+        if !self.is_shortage_policy_on || self.waiting.is_empty() {
             return;
         }
         let Refusals { too_late, displaced } = self.unserveable_jobs(now);
@@ -248,7 +252,7 @@
         self.counters.late_refusals += 1;
         let released = self.service_capacity(now, &route, critical_path).released_cpu_millis_per_s;
         let waiting = self.waiting.cpu_millis() as f64;
-        let spread = Duration::from_secs_f64((waiting / released.max(1.0)).min(1e3));
+        let spread = Duration::from_secs_f64((waiting / released.max(1.0)).min(MAX_WAIT_S));
         let spread = spread.max(MIN_RETRY_SPREAD);
         let retry_after = admission::retry_after_within(wait, spread, self.rng.f64());
         self.end_job(now, id, Answer::Refused { reason: Refusal::Overloaded, retry_after });
--- a/crates/bulrushlatch_dispatch/src/entry/stamps.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/stamps.rs
@@ -22,7 +22,7 @@
 #[derive(Debug, Default)]
 pub struct StampHistory {
     newest: ReceivedStamp,
-    /// Stamps received after `echoed`, oldest first. Empty while echoes are not bounded.
+    /// Stamps received after `echoed`, oldest first; cleared by each echo that is not bounded.
     kept: VecDeque<ReceivedStamp>,
     /// The newest stamp that has been echoed.
     echoed: ReceivedStamp,
--- a/crates/bulrushlatch_dispatch/src/entry/target_speed.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/target_speed.rs
@@ -71,7 +71,7 @@
     observed_at: BootTime,
     /// Whether it is recognised as slow.
     is_slow: bool,
-    /// Number of runs at which the speed began to contradict `is_slow`; `None` while it does not.
+    /// Value of `runs` when the speed began to contradict `is_slow`; `None` while it does not.
     differs_since_run: Option<u32>,
     /// When `is_slow` changed.
     changed_at: BootTime,
@@ -221,6 +221,7 @@
     work: f64,
     /// The part of `work` that only fast targets can do in time.
     sensitive_work: f64,
+    /// When the speeds were last summed up.
     refreshed_at: BootTime,
 }
 
@@ -295,9 +296,13 @@
 /// Sums over the targets of one service, weighted by their capacities.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SpeedSums {
+    /// Sum of the capacities, in thousandths of a core.
     cpu_millis: f64,
+    /// Weighted sum of the speeds.
     speed: f64,
+    /// Weighted sum of their logarithms.
     log_speed: f64,
+    /// Weighted sum of the squared logarithms.
     squared_log_speed: f64,
     min_log_speed: f64,
     max_log_speed: f64,
--- a/crates/bulrushlatch_dispatch/src/entry/waiting.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/waiting.rs
@@ -123,7 +123,7 @@
         }
     }
 
-    /// Returns the CPU that the tasks need.
+    /// Returns the CPU that the tasks need, with that of the tasks of `route` by itself.
     pub fn lengths(&self, route: &RouteName) -> QueueLengths {
         QueueLengths {
             cpu_millis: self.cpu_millis,
--- a/crates/bulrushlatch_node/src/entry/flags.rs
+++ b/crates/bulrushlatch_node/src/entry/flags.rs
@@ -40,7 +40,7 @@
         optional --overload-control switch: String
         /// Whether another entry with spare CPU may carry out jobs of this entry's callers, and this
         /// entry jobs of others: on or off (default off)
-        optional --delegation mode: String
+        optional --delegation switch: String
         /// Busy share of the process's thread above which it delegates jobs, in percent (default 70)
         optional --delegation-busy-percent percent: String
         /// Exchange of demand between entries and agents: on or off (default off)
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -371,7 +371,7 @@
         let overload_refusal_percent = (core.overload().fraction() * 100.0) as u64;
         let queueing_delay_us = core.processor_load().queueing_delay().as_micros() as u64;
         let reserve_cpu_millis = core.largest_reserve_cpu_millis(self.clock.now());
-        let busy_percent = (core.processor_load().busy_share() * 100.0) as u64;
+        let busy_percent = core.processor_load().busy_percent();
         metrics::add_gauges(
             &mut registry,
             &[
--- a/crates/bulrushlatch_node/src/lib.rs
+++ b/crates/bulrushlatch_node/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`call_gate`]: limits the calls to a server that leaves calls unanswered
 //! - [`read_rate`]: limits the rate at which responses are read
 //! - [`one_thread`]: single-threaded runtime of a process
+//! - [`busy_time`]: time in which that thread is busy
 //! - [`queue_probe`]: time for which events wait for that thread
 //! - [`settings`]: flags and environment variables, validated
 
