Long functions of an entry are split by what they decide

Handling of an agent's frame, admission and the choice of an agent each held two jobs, and the rule who may use the reserve was written twice.

--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -142,7 +142,7 @@
         self.is_placement_due = true;
     }
 
-    /// Chooses the agent at which to start a task.
+    /// Chooses the agent at which to start a task. A task of a job that has ended finds no room.
     fn select_agent(&mut self, now: BootTime, key: &TaskKey) -> Selection {
         self.try_select_agent(now, key).unwrap_or(Selection::NoRoom)
     }
@@ -177,23 +177,7 @@
             free += candidate.free.cpu_millis;
             total += candidate.total.cpu_millis;
         }
-        // A job that has started may use the reserve: finishing it releases the capacity that it
-        // holds.
-        let may_use_reserve = job.has_run || self.is_most_urgent(&job.route);
-        let reserve = if may_use_reserve {
-            0
-        } else {
-            self.urgent_reserve_cpu_millis(&job.route.service, total)
-        };
-        // A late job starts as a whole, so that it does not wait half started.
-        let needed = if job.is_late() {
-            job.request.initial_demand().cpu_millis
-        } else {
-            step.size.cpu_millis
-        };
-        // The reserve does not apply while all targets are idle: otherwise a task that needs more
-        // than the rest would never start.
-        if free < total && free < reserve + needed {
+        if !self.has_room_beside_reserve(job, step, free, total) {
             return None;
         }
         let is_avoided = |candidate: &Candidate<'_>| task.avoided_agents.contains(candidate.agent);
@@ -218,6 +202,24 @@
         Some(Selection::Agent(chosen.agent.clone(), need.sensitivity()))
     }
 
+    /// Returns whether a task of `step` may start with `free` of `total` capacity left, in thousandths
+    /// of a core, as far as the reserve for urgent routes is concerned.
+    fn has_room_beside_reserve(&self, job: &JobState, step: &Step, free: u64, total: u64) -> bool {
+        // A job that has started may use the reserve: finishing it releases the capacity that it
+        // holds.
+        let may_use_reserve = job.has_run || self.is_most_urgent(&job.route);
+        let withheld = self.withheld_cpu_millis(&job.route, may_use_reserve, total);
+        // A late job starts as a whole, so that it does not wait half started.
+        let needed = if job.is_late() {
+            job.request.initial_demand().cpu_millis
+        } else {
+            step.size.cpu_millis
+        };
+        // The reserve does not apply while all targets are idle: otherwise a task that needs more
+        // than the rest would never start.
+        free >= total || free >= withheld + needed
+    }
+
     /// Issues a stop order for every run that counts as stuck.
     pub(super) fn stop_stuck_runs(&mut self, now: BootTime) {
         let mut stuck = Vec::new();
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -64,8 +64,8 @@
 use crate::{
     clock::BootTime,
     cordon::Cordons,
-    frame::{AgentFrame, EntryFrame},
-    ids::{CallerId, JobId, LinkId, OrderNumber, ProcessId, ServiceName},
+    frame::{AgentFrame, EntryFrame, Report},
+    ids::{CallerId, JobId, LinkId, OrderNumber, ProcessId, ServiceName, TaskKey},
     outcome::{Answer, Obstacle, RunOutcome},
     routing::RoutingTable,
     size::Size,
@@ -334,32 +334,41 @@
             self.update_agents_in_use(now);
         }
         for task in undelivered {
-            let order =
-                self.agents.get(agent).and_then(|view| view.runs.get(&task).map(|run| run.order));
-            let Some(order) = order else { continue };
-            let outcome = RunOutcome::NotStarted(Obstacle::Undelivered);
-            self.handle_run_end(now, agent, &task, order, outcome, Duration::ZERO);
+            self.handle_undelivered(now, agent, &task);
         }
         for report in frame.reports {
-            let Some(view) = self.agents.get_mut(agent) else { return };
-            if !view.is_new_report(report.number) {
-                continue;
-            }
-            let run_time = Duration::from_millis(report.ran_ms);
-            if let Some(job) = self.jobs.get_mut(&report.task.job)
-                && let Some(task) = job.task_mut(&report.task)
-            {
-                task.attempt = task.attempt.max(report.attempt);
-            }
-            self.handle_run_end(now, agent, &report.task, report.order, report.outcome, run_time);
+            self.handle_report(now, agent, &report);
         }
         if may_place || self.is_placement_due {
             self.place_waiting_tasks(now);
         }
     }
 
-    /// Does periodic work: ends the runs at silent agents, stops stuck runs, gives up late jobs and
-    /// places waiting tasks.
+    /// Handles a start order that was lost with its link.
+    fn handle_undelivered(&mut self, now: BootTime, agent: &ProcessId, task: &TaskKey) {
+        let run = self.agents.get(agent).and_then(|view| view.runs.get(task));
+        let Some(order) = run.map(|run| run.order) else { return };
+        let outcome = RunOutcome::NotStarted(Obstacle::Undelivered);
+        self.handle_run_end(now, agent, task, order, outcome, Duration::ZERO);
+    }
+
+    /// Handles an agent's report of an ended run, unless it has been handled before.
+    fn handle_report(&mut self, now: BootTime, agent: &ProcessId, report: &Report) {
+        let Some(view) = self.agents.get_mut(agent) else { return };
+        if !view.is_new_report(report.number) {
+            return;
+        }
+        let run_time = Duration::from_millis(report.ran_ms);
+        if let Some(job) = self.jobs.get_mut(&report.task.job)
+            && let Some(task) = job.task_mut(&report.task)
+        {
+            task.attempt = task.attempt.max(report.attempt);
+        }
+        self.handle_run_end(now, agent, &report.task, report.order, report.outcome, run_time);
+    }
+
+    /// Does periodic work: ends the runs at silent agents, stops stuck runs, gives up late jobs, refuses
+    /// jobs that cannot start in time, places waiting tasks, and updates learned values and delegation.
     pub fn tick(&mut self, now: BootTime) {
         self.detect_suspension(now);
         self.demands.expire(now);
--- a/crates/bulrushlatch_dispatch/src/entry/reserve.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/reserve.rs
@@ -91,6 +91,20 @@
         reserve.min(total * MAX_SHARE) as u64
     }
 
+    /// Returns the CPU of a route's service that a job of the route may not use, in thousandths of a core.
+    pub(super) fn withheld_cpu_millis(
+        &self,
+        route: &Route,
+        may_use_reserve: bool,
+        total_cpu_millis: u64,
+    ) -> u64 {
+        if may_use_reserve {
+            0
+        } else {
+            self.urgent_reserve_cpu_millis(&route.service, total_cpu_millis)
+        }
+    }
+
     /// Updates the reserves; to be called once a tick.
     pub(super) fn update_reserves(&mut self, now: BootTime) {
         if self.urgent_demands.is_empty() {
--- a/crates/bulrushlatch_dispatch/src/entry/submission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/submission.rs
@@ -121,6 +121,23 @@
         }
     }
 
+    /// Adds an arriving job, accepted or not, to the averages of load and demand.
+    fn record_arrival(
+        &mut self,
+        now: BootTime,
+        route: &Route,
+        demand: &Demand,
+        critical_path: Duration,
+    ) {
+        self.overload.record_job(&route.name, demand.max_wait);
+        self.demands.record(now, &route.name, demand.cpu_millis);
+        self.record_arrived_share(now, route, demand.cpu_millis);
+        self.record_urgent_demand(now, route, demand.cpu_millis, critical_path, demand.max_wait);
+        let load = self.offered_loads.entry(route.service.clone()).or_default();
+        load.record(now, demand.cpu_millis, critical_path);
+        self.demand.record_job(now, route, demand.cpu_millis, critical_path);
+    }
+
     /// Accepts or refuses a job by the available capacity; queues the initial tasks of an accepted
     /// job.
     fn admit(&mut self, now: BootTime, submission: Submission) {
@@ -133,13 +150,7 @@
             max_wait: times.max_wait(),
             max_late_wait: times.max_late_wait(),
         };
-        self.overload.record_job(&route.name, demand.max_wait);
-        self.demands.record(now, &route.name, demand.cpu_millis);
-        self.record_arrived_share(now, &route, demand.cpu_millis);
-        self.record_urgent_demand(now, &route, demand.cpu_millis, critical_path, demand.max_wait);
-        let load = self.offered_loads.entry(route.service.clone()).or_default();
-        load.record(now, demand.cpu_millis, critical_path);
-        self.demand.record_job(now, &route, demand.cpu_millis, critical_path);
+        self.record_arrival(now, &route, &demand, critical_path);
         let has_targets =
             request.steps.iter().all(|step| self.has_fitting_target(now, &route, step));
         if !has_targets && !self.is_discovering(now, &route) {
--- a/crates/bulrushlatch_dispatch/src/entry/supply.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/supply.rs
@@ -53,11 +53,8 @@
     ) -> Supply {
         let Capacity { free_cpu_millis, total_cpu_millis, released_cpu_millis_per_s } =
             self.service_capacity(now, route, run_time);
-        let reserve = if self.is_most_urgent(route) {
-            0
-        } else {
-            self.urgent_reserve_cpu_millis(&route.service, total_cpu_millis)
-        };
+        let withheld =
+            self.withheld_cpu_millis(route, self.is_most_urgent(route), total_cpu_millis);
         let queue = self.waiting.lengths(&route.name);
         let max_late_cpu_millis = if self.had_spare_capacity(now, &route.service, max_late_wait) {
             self.late_limit.cpu_millis(total_cpu_millis)
@@ -65,7 +62,7 @@
             0
         };
         Supply {
-            free_cpu_millis: free_cpu_millis.saturating_sub(reserve),
+            free_cpu_millis: free_cpu_millis.saturating_sub(withheld),
             queued_cpu_millis: queue.same_route_cpu_millis,
             released_cpu_millis_per_s,
             route_share: self.demands.share(&route.name),
