Speeds of a service's targets have a module of their own

target_speed.rs held the filter for one target and the sums over a service with the waits that follow from them. The import of its test follows; its checks are unchanged. Jobs past their deadline were called hopeless, which did not say that they have expired.

--- a/crates/bulrushlatch_dispatch/src/entry/completion.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/completion.rs
@@ -149,8 +149,8 @@
 
     /// Gives up jobs past their deadline, and jobs that have not started and whose answer would come
     /// too late to be of use. Moves those that will only be late to the late class.
-    pub(super) fn end_hopeless_jobs(&mut self, now: BootTime) {
-        let mut hopeless = Vec::new();
+    pub(super) fn end_expired_jobs(&mut self, now: BootTime) {
+        let mut expired = Vec::new();
         let mut late = Vec::new();
         for (id, job) in &self.jobs {
             let may_have_run = job.may_have_run();
@@ -159,7 +159,7 @@
             }
             let answer_at = now + self.expected_critical_path(&job.route, &job.request);
             if now >= job.deadline_at || (!may_have_run && answer_at >= job.useful_until) {
-                hopeless.push(id.clone());
+                expired.push(id.clone());
             } else if !may_have_run && !job.is_late() && answer_at >= job.objective_at {
                 late.push(id.clone());
             }
@@ -168,10 +168,10 @@
             if self.may_wait_late(now, &id) {
                 self.make_late(now, &id);
             } else {
-                hopeless.push(id);
+                expired.push(id);
             }
         }
-        for id in hopeless {
+        for id in expired {
             if self.jobs.get(&id).is_some_and(|job| job.is_late() && !job.may_have_run()) {
                 self.late_limit.record_expiry();
             }
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -14,7 +14,8 @@
 //! - [`overload`]: refuses jobs for lack of processor time
 //! - [`delegation`]: jobs that other entries carry out, and jobs carried out for them
 //! - [`processor_load`]: busy share of the entry's thread, and the delay of events in its queue
-//! - [`target_speed`]: learned speeds of targets
+//! - [`target_speed`]: learned speed of a target
+//! - [`service_speeds`]: speeds of the targets of a service in sum
 //! - `speed_placement`: use of targets' speeds where they differ
 //! - [`subset`]: chooses the agents that an entry uses
 //! - `agents`: links to agents, choice of those in use, loss of an agent
@@ -50,6 +51,7 @@
 pub mod run_times;
 pub mod served_shares;
 pub mod service_numbers;
+pub mod service_speeds;
 mod shortage;
 mod speed_placement;
 pub mod stamps;
@@ -79,7 +81,7 @@
     demand::DemandExchange, job_state::JobState, late_limit::LateLimit, offered_load::OfferedLoad,
     overload::OverloadControl, processor_load::ProcessorLoad, rates::RouteDemands,
     reserve::UrgentDemand, run_times::RunTimes, served_shares::ServedShares,
-    service_numbers::ServiceNumbers, target_speed::ServiceSpeeds, waiting::WaitingQueue,
+    service_numbers::ServiceNumbers, service_speeds::ServiceSpeeds, waiting::WaitingQueue,
 };
 
 /// Shortest interval between checks of all agents for due heartbeats: short against the interval of
@@ -381,7 +383,7 @@
         self.stop_stuck_runs(now);
         self.update_reserves(now);
         self.record_spare_capacity(now);
-        self.end_hopeless_jobs(now);
+        self.end_expired_jobs(now);
         self.refuse_unserveable_jobs(now);
         self.place_waiting_tasks(now);
         self.tick_delegation(now);
--- a/crates/bulrushlatch_dispatch/src/entry/placement.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/placement.rs
@@ -4,7 +4,7 @@
 
 use crate::{ids::ProcessId, job::Step, size::Size};
 
-use super::target_speed::{ServiceSpeeds, TargetSpeed};
+use super::{service_speeds::ServiceSpeeds, target_speed::TargetSpeed};
 
 /// Score bonus of an agent in the entry's own availability zone; the score starts from the free
 /// share of the target's CPU. The bonus saves latency and the price of traffic between zones, and
--- a/crates/bulrushlatch_dispatch/src/entry/speed_placement.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/speed_placement.rs
@@ -12,7 +12,7 @@
     job_state::JobState,
     job_times::MESSAGE_TIME_RESERVE,
     placement::SpeedNeed,
-    target_speed::{ServiceSpeeds, SpeedSums},
+    service_speeds::{ServiceSpeeds, SpeedSums},
 };
 
 /// Shortest run time in seconds of which a logarithm is taken; clocks are not more precise.
--- a/crates/bulrushlatch_dispatch/tests/target_speed.rs
+++ b/crates/bulrushlatch_dispatch/tests/target_speed.rs
@@ -7,7 +7,8 @@
     entry::{
         agent_view::AgentView,
         placement::SpeedNeed,
-        target_speed::{ServiceSpeeds, SpeedSums, TargetSpeed},
+        service_speeds::{ServiceSpeeds, SpeedSums},
+        target_speed::TargetSpeed,
     },
     frame::{AgentFrame, Offer, Profile},
     job::{JobRequest, Step},
