--- a/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/dispatch.rs
@@ -48,15 +48,17 @@
 /// What becomes of a task in the queue.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum QueueAction {
+    /// The task leaves the queue: it is placed, or its job has ended.
     Remove,
     /// The task stays for lack of capacity.
     Keep,
-    /// The task stays to wait for a fast target.
+    /// The task stays to wait for a fast target although others have room.
     Hold,
 }
 
 impl Entry {
-    /// Places waiting tasks in the order of the queue until [`MAX_MISSES`] of them find no agent.
+    /// Places waiting tasks in the order of the queue until [`MAX_MISSES`] of them find no agent, or
+    /// [`MAX_HELD_STEPS`] steps wait for a fast target.
     pub(super) fn place_waiting_tasks(&mut self, now: BootTime) {
         self.is_placement_due = false;
         let mut after: Option<WaitingTask> = None;
@@ -74,11 +76,9 @@
             let is_same_step =
                 |held: &TaskKey| held.job == next.key.job && held.step == next.key.step;
             if !held.as_ref().is_some_and(is_same_step) {
-                let action = if !is_check_due && self.is_held(&next.key) {
-                    QueueAction::Hold
-                } else {
-                    self.place_task(now, &next.key)
-                };
+                let stays_held = !is_check_due && self.is_held(&next.key);
+                let action =
+                    if stays_held { QueueAction::Hold } else { self.place_task(now, &next.key) };
                 match action {
                     QueueAction::Remove => {
                         self.waiting.remove(&next);
@@ -142,7 +142,7 @@
         self.is_placement_due = true;
     }
 
-    /// Chooses the agent at which to start a task.
+    /// Chooses the agent at which to start a task. A task of a job that has ended finds no room.
     fn select_agent(&mut self, now: BootTime, key: &TaskKey) -> Selection {
         self.try_select_agent(now, key).unwrap_or(Selection::NoRoom)
     }
@@ -177,23 +177,7 @@
             free += candidate.free.cpu_millis;
             total += candidate.total.cpu_millis;
         }
-        // A job that has started may use the reserve: finishing it releases the capacity that it
-        // holds.
-        let may_use_reserve = job.has_run || self.is_most_urgent(&job.route);
-        let reserve = if may_use_reserve {
-            0
-        } else {
-            self.urgent_reserve_cpu_millis(&job.route.service, total)
-        };
-        // A late job starts as a whole, so that it does not wait half started.
-        let needed = if job.is_late() {
-            job.request.initial_demand().cpu_millis
-        } else {
-            step.size.cpu_millis
-        };
-        // The reserve does not apply while all targets are idle: otherwise a task that needs more
-        // than the rest would never start.
-        if free < total && free < reserve + needed {
+        if !self.has_room_beside_reserve(job, step, free, total) {
             return None;
         }
         let is_avoided = |candidate: &Candidate<'_>| task.avoided_agents.contains(candidate.agent);
@@ -218,13 +202,31 @@
         Some(Selection::Agent(chosen.agent.clone(), need.sensitivity()))
     }
 
+    /// Returns whether a task of `step` may start with `free` of `total` capacity left, in thousandths
+    /// of a core, as far as the reserve for urgent routes is concerned.
+    fn has_room_beside_reserve(&self, job: &JobState, step: &Step, free: u64, total: u64) -> bool {
+        // A job that has started may use the reserve: finishing it releases the capacity that it
+        // holds.
+        let may_use_reserve = job.has_run || self.is_most_urgent(&job.route);
+        let withheld = self.withheld_cpu_millis(&job.route, may_use_reserve, total);
+        // A late job starts as a whole, so that it does not wait half started.
+        let needed = if job.is_late() {
+            job.request.initial_demand().cpu_millis
+        } else {
+            step.size.cpu_millis
+        };
+        // The reserve does not apply while all targets are idle: otherwise a task that needs more
+        // than the rest would never start.
+        free >= total || free >= withheld + needed
+    }
+
     /// Issues a stop order for every run that counts as stuck.
     pub(super) fn stop_stuck_runs(&mut self, now: BootTime) {
         let mut stuck = Vec::new();
         for job in self.jobs.values() {
             for (number, step) in job.request.steps.iter().enumerate() {
                 // No run of the step has lasted longer than the job has been open.
-                if now.saturating_sub(job.arrived_at) <= least_stuck_limit(step) {
+                if now.saturating_sub(job.arrived_at) <= min_stuck_limit(step) {
                     continue;
                 }
                 for index in 0..step.tasks {
@@ -257,7 +259,7 @@
             return None;
         }
         let step = job.request.steps.get(key.step as usize)?;
-        if now.saturating_sub(*placed_at) <= least_stuck_limit(step) {
+        if now.saturating_sub(*placed_at) <= min_stuck_limit(step) {
             return None;
         }
         let expected = self.run_times.expected(&job.route.name, step.estimate).max(step.estimate);
@@ -294,6 +296,6 @@
 }
 
 /// Returns the shortest time limit that a run of the step can have, whatever has been learned.
-fn least_stuck_limit(step: &Step) -> Duration {
+fn min_stuck_limit(step: &Step) -> Duration {
     step.estimate.mul_f64(STUCK_FACTOR) + STUCK_MARGIN
 }
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -13,8 +13,9 @@
 //! - [`placement`]: chooses the agent that starts a task
 //! - [`overload`]: refuses jobs for lack of processor time
 //! - [`delegation`]: jobs that other entries carry out, and jobs carried out for them
-//! - [`processor_load`]: how much of its VM's processor the entry uses
-//! - [`target_speed`]: learned speeds of targets
+//! - [`processor_load`]: busy share of the entry's thread, and the delay of events in its queue
+//! - [`target_speed`]: learned speed of a target
+//! - [`service_speeds`]: speeds of the targets of a service in sum
 //! - `speed_placement`: use of targets' speeds where they differ
 //! - [`subset`]: chooses the agents that an entry uses
 //! - `agents`: links to agents, choice of those in use, loss of an agent
@@ -50,6 +51,7 @@
 pub mod run_times;
 pub mod served_shares;
 pub mod service_numbers;
+pub mod service_speeds;
 mod shortage;
 mod speed_placement;
 pub mod stamps;
@@ -64,8 +66,8 @@
 use crate::{
     clock::BootTime,
     cordon::Cordons,
-    frame::{AgentFrame, EntryFrame},
-    ids::{CallerId, JobId, LinkId, OrderNumber, ProcessId, ServiceName},
+    frame::{AgentFrame, EntryFrame, Report},
+    ids::{CallerId, JobId, LinkId, OrderNumber, ProcessId, ServiceName, TaskKey},
     outcome::{Answer, Obstacle, RunOutcome},
     routing::RoutingTable,
     size::Size,
@@ -79,7 +81,7 @@
     demand::DemandExchange, job_state::JobState, late_limit::LateLimit, offered_load::OfferedLoad,
     overload::OverloadControl, processor_load::ProcessorLoad, rates::RouteDemands,
     reserve::UrgentDemand, run_times::RunTimes, served_shares::ServedShares,
-    service_numbers::ServiceNumbers, target_speed::ServiceSpeeds, waiting::WaitingQueue,
+    service_numbers::ServiceNumbers, service_speeds::ServiceSpeeds, waiting::WaitingQueue,
 };
 
 /// Shortest interval between checks of all agents for due heartbeats: short against the interval of
@@ -127,7 +129,7 @@
     demands: RouteDemands,
     /// Load of the jobs of each service, accepted or not.
     offered_loads: BTreeMap<ServiceName, OfferedLoad>,
-    /// Demand exchanged with agents.
+    /// State of the exchange of demand with agents.
     demand: DemandExchange,
     /// Number of entries that share the targets, this one included.
     entry_count: u32,
@@ -135,7 +137,7 @@
     processor_load: ProcessorLoad,
     overload: OverloadControl,
     /// Whether waiting jobs are looked at again each tick, and the reserve follows the demand.
-    shortage_policy: bool,
+    is_shortage_policy_on: bool,
     /// How often the routes of each service are served.
     served_shares: BTreeMap<ServiceName, ServedShares>,
     /// Demand of the most urgent routes of each service.
@@ -186,7 +188,7 @@
             is_shutting_down: false,
             processor_load: ProcessorLoad::default(),
             overload: OverloadControl::default(),
-            shortage_policy: false,
+            is_shortage_policy_on: false,
             served_shares: BTreeMap::new(),
             urgent_demands: BTreeMap::new(),
             spare_seen_at: BTreeMap::new(),
@@ -286,7 +288,7 @@
             self.agents_with_orders.clear();
             let frames = self.agents.values_mut().filter_map(|view| {
                 let frame = view.frame(now, &timing, &self.delegation.proofs)?;
-                self.demand.state_to(now, view);
+                self.demand.add_due_statement(now, view);
                 Some(frame)
             });
             return frames.collect();
@@ -295,7 +297,7 @@
         for agent in self.agents_with_orders.drain(..) {
             let Some(view) = self.agents.get_mut(&agent) else { continue };
             if let Some(frame) = view.frame(now, &timing, &self.delegation.proofs) {
-                self.demand.state_to(now, view);
+                self.demand.add_due_statement(now, view);
                 frames.push(frame);
             }
         }
@@ -334,32 +336,41 @@
             self.update_agents_in_use(now);
         }
         for task in undelivered {
-            let order =
-                self.agents.get(agent).and_then(|view| view.runs.get(&task).map(|run| run.order));
-            let Some(order) = order else { continue };
-            let outcome = RunOutcome::NotStarted(Obstacle::Undelivered);
-            self.handle_run_end(now, agent, &task, order, outcome, Duration::ZERO);
+            self.handle_undelivered(now, agent, &task);
         }
         for report in frame.reports {
-            let Some(view) = self.agents.get_mut(agent) else { return };
-            if !view.is_new_report(report.number) {
-                continue;
-            }
-            let run_time = Duration::from_millis(report.ran_ms);
-            if let Some(job) = self.jobs.get_mut(&report.task.job)
-                && let Some(task) = job.task_mut(&report.task)
-            {
-                task.attempt = task.attempt.max(report.attempt);
-            }
-            self.handle_run_end(now, agent, &report.task, report.order, report.outcome, run_time);
+            self.handle_report(now, agent, &report);
         }
         if may_place || self.is_placement_due {
             self.place_waiting_tasks(now);
         }
     }
 
-    /// Does periodic work: ends the runs at silent agents, stops stuck runs, gives up late jobs and
-    /// places waiting tasks.
+    /// Handles a start order that was lost with its link.
+    fn handle_undelivered(&mut self, now: BootTime, agent: &ProcessId, task: &TaskKey) {
+        let run = self.agents.get(agent).and_then(|view| view.runs.get(task));
+        let Some(order) = run.map(|run| run.order) else { return };
+        let outcome = RunOutcome::NotStarted(Obstacle::Undelivered);
+        self.handle_run_end(now, agent, task, order, outcome, Duration::ZERO);
+    }
+
+    /// Handles an agent's report of an ended run, unless it has been handled before.
+    fn handle_report(&mut self, now: BootTime, agent: &ProcessId, report: &Report) {
+        let Some(view) = self.agents.get_mut(agent) else { return };
+        if !view.is_new_report(report.number) {
+            return;
+        }
+        let run_time = Duration::from_millis(report.ran_ms);
+        if let Some(job) = self.jobs.get_mut(&report.task.job)
+            && let Some(task) = job.task_mut(&report.task)
+        {
+            task.attempt = task.attempt.max(report.attempt);
+        }
+        self.handle_run_end(now, agent, &report.task, report.order, report.outcome, run_time);
+    }
+
+    /// Does periodic work: ends the runs at silent agents, stops stuck runs, gives up late jobs, refuses
+    /// jobs that cannot start in time, places waiting tasks, and updates learned values and delegation.
     pub fn tick(&mut self, now: BootTime) {
         self.detect_suspension(now);
         self.demands.expire(now);
@@ -372,7 +383,7 @@
         self.stop_stuck_runs(now);
         self.update_reserves(now);
         self.record_spare_capacity(now);
-        self.end_hopeless_jobs(now);
+        self.end_expired_jobs(now);
         self.refuse_unserveable_jobs(now);
         self.place_waiting_tasks(now);
         self.tick_delegation(now);
