Delegated jobs cancelled before their frame is sent are not started

A delegate handles the cancellations of a frame before its jobs, so that a job whose cancellation came with it ran to its end without a caller. Its origin now sends neither, and a delegate drops such jobs.

--- a/crates/bulrushlatch_dispatch/src/entry/delegation/exchange.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/exchange.rs
@@ -77,7 +77,7 @@
         &mut self,
         now: BootTime,
         link: LinkId,
-        frame: DelegationFrame,
+        mut frame: DelegationFrame,
     ) -> Vec<DelegatedJob> {
         self.detect_suspension(now);
         let Some(peer) = self.delegation.peers.get_mut(&link) else { return Vec::new() };
@@ -94,6 +94,8 @@
         delegation.has_pending |= frame.wants_reply;
         delegation.delegates.record_offer(now, link, frame.max_jobs_per_s, &frame.zone);
         let is_asking = frame.wants_reply || !frame.jobs.is_empty();
+        // Its job would start after the cancellation and never be stopped.
+        frame.jobs.retain(|job| !frame.cancelled.contains(&job.number));
         // The proof may be newer than the loss of the callers whose jobs are cancelled, so the runs of
         // these are bound to the one before.
         for number in frame.cancelled {
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/outgoing.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/outgoing.rs
@@ -117,15 +117,29 @@
         Some(id)
     }
 
-    /// Has the delegate stop a job, and answers its callers; returns whether the job was open.
+    /// Has the delegate stop a job, and answers its callers; returns whether the job was open. A job
+    /// that has not been sent is not sent at all: cancellations are handled before the jobs of their
+    /// frame.
     pub fn cancel(&mut self, id: &JobId, answer: Answer) -> bool {
         let Some(job) = self.jobs.get(id) else { return false };
         let (link, number) = (job.link, job.number);
-        self.pending.entry(link).or_default().cancelled.push(number);
+        self.cancel_order(link, number);
         self.end(link, number, DelegatedOutcome::Answered(answer));
         true
     }
 
+    fn cancel_order(&mut self, link: LinkId, number: DelegationNumber) {
+        let pending = self.pending.entry(link).or_default();
+        let Some(index) = pending.jobs.iter().position(|job| job.number == number) else {
+            pending.cancelled.push(number);
+            return;
+        };
+        pending.jobs.remove(index);
+        if pending.jobs.is_empty() && pending.cancelled.is_empty() {
+            self.pending.remove(&link);
+        }
+    }
+
     /// Ends a job; returns its id if it was open.
     pub fn end(
         &mut self,
--- a/crates/bulrushlatch_dispatch/tests/delegation/failures.rs
+++ b/crates/bulrushlatch_dispatch/tests/delegation/failures.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    fixture::{LINK, Pair},
+    fixture::{LINK, Pair, delegated_job, job_id},
     support::{ms, timing},
 };
 
@@ -177,3 +177,34 @@
     assert_eq!(pair.delegate.delegation_counters().invalid, 1);
     assert_eq!(pair.delegate.open_jobs(), 1);
 }
+
+/// Guards against a job without a caller that runs to its end: its cancellation reached the delegate
+/// with the job, and was handled before it.
+#[test]
+fn a_job_whose_caller_leaves_before_its_frame_is_sent_does_not_start() {
+    let mut pair = Pair::loaded();
+    let caller = pair.try_delegate("job").expect("the origin is overloaded");
+    let now = pair.now;
+    pair.origin.caller_gone(now, caller);
+    for (_, frame) in pair.origin.delegation_frames(now) {
+        assert!(frame.jobs.is_empty() && frame.cancelled.is_empty(), "{frame:?}");
+    }
+    pair.advance(ms(20));
+    assert_eq!(pair.origin.open_jobs(), 0);
+    assert!(pair.delegate_agent.take_starts().is_empty());
+}
+
+/// Guards against the same from an origin that sends both.
+#[test]
+fn a_job_that_its_own_frame_cancels_does_not_start() {
+    let mut pair = Pair::loaded();
+    let frame = DelegationFrame {
+        stamp_echo_ms: pair.now_ms(),
+        jobs: vec![delegated_job(1, "cancelled"), delegated_job(2, "other")],
+        cancelled: vec![1],
+        ..DelegationFrame::default()
+    };
+    pair.deliver_to_delegate(LINK, frame);
+    assert_eq!(pair.delegate.state(&job_id("cancelled")), Answer::UnknownJob);
+    assert_eq!(pair.delegate.state(&job_id("other")), Answer::Running);
+}
--- a/crates/bulrushlatch_dispatch/tests/delegation/fixture.rs
+++ b/crates/bulrushlatch_dispatch/tests/delegation/fixture.rs
@@ -4,7 +4,7 @@
 
 use bulrushlatch_dispatch::{
     clock::BootTime,
-    delegation::{DelegatedJob, DelegatedOutcome, DelegationFrame},
+    delegation::{DelegatedJob, DelegatedOutcome, DelegationFrame, DelegationNumber},
     entry::{
         Entry, Submission,
         delegation::{DelegableRequest, DelegationSettings},
@@ -32,6 +32,18 @@
     id.into()
 }
 
+/// Returns a job as an origin sends it.
+pub fn delegated_job(number: DelegationNumber, id: &str) -> DelegatedJob {
+    DelegatedJob {
+        number,
+        version: 1,
+        host: String::new(),
+        path: String::new(),
+        remaining_ms: None,
+        body: id.to_owned(),
+    }
+}
+
 fn new_entry(zone: &str, agent: &SimulatedAgent) -> Entry {
     let mut entry = Entry::new(timing(), zone.to_owned(), 1);
     entry.configure(RoutingTable::new(1, vec![route("quick")], None));
@@ -208,15 +220,7 @@
 
     /// Delivers a job with number 1 to the delegate, in a frame that echoes the given stamp.
     pub fn deliver_job(&mut self, id: &str, stamp_echo_ms: u64) {
-        let job = DelegatedJob {
-            number: 1,
-            version: 1,
-            host: String::new(),
-            path: String::new(),
-            remaining_ms: None,
-            body: id.to_owned(),
-        };
-        let jobs = vec![job];
+        let jobs = vec![delegated_job(1, id)];
         let frame = DelegationFrame { stamp_echo_ms, jobs, ..DelegationFrame::default() };
         self.deliver_to_delegate(LINK, frame);
         self.exchange();
