Jobs that are open for a caller elsewhere end when they are submitted again

An own caller could start a second run of a job that a delegate ran, or share the runs of a job that was open for another entry's caller. Both callers are now answered Interrupted, as for jobs that arrive from another entry. A delegated job is not refused for lack of processor time, since it may have run.

--- a/crates/bulrushlatch_dispatch/src/entry/delegation/delegate.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/delegate.rs
@@ -15,6 +15,7 @@
     super::{Entry, Submission, agent_view::AgentView},
     fresh_limit,
     incoming::Incoming,
+    proofs::OriginId,
     silence_limit,
     spare_rate::REFUSAL_BUSY_SHARE,
 };
@@ -80,7 +81,7 @@
             spare_jobs_per_s = self.spare_jobs_per_s(now),
             "accepted from another entry"
         );
-        if self.end_conflicting_job(now, link, &job) {
+        if self.end_conflicting_job(now, Some(link), &job) {
             self.answer_delegated(link, number, Answer::Interrupted);
             return;
         }
@@ -92,22 +93,28 @@
         self.submit(now, Submission { caller, route, request, remaining_time });
     }
 
-    /// Ends a job that another caller waits for than the one whose job has arrived; returns whether
-    /// there was one.
+    /// Ends a job that has arrived again from elsewhere than the callers that wait for it; returns
+    /// whether there was one. `origin` is the entry from which it has arrived now; `None` stands for a
+    /// caller of this entry.
     ///
     /// The runs of a job are bound to the liveness of one origin, so that callers at different entries
     /// cannot share it. Such a job is left from a caller whose connection has broken.
-    fn end_conflicting_job(&mut self, now: BootTime, link: LinkId, job: &JobId) -> bool {
+    pub(in super::super) fn end_conflicting_job(
+        &mut self,
+        now: BootTime,
+        origin: Option<OriginId>,
+        job: &JobId,
+    ) -> bool {
         if self.delegation.outgoing.contains(job) {
             self.delegation.outgoing.cancel(job, Answer::Interrupted);
             self.delegation.has_pending = true;
             return true;
         }
         let Some(state) = self.jobs.get(job) else { return false };
-        if self.delegation.origin_of(&state.callers) == Some(link) {
+        if self.delegation.origin_of(&state.callers) == origin {
             return false;
         }
-        tracing::info!(%job, link, "open for a caller of another entry: given up");
+        tracing::info!(%job, origin, "open for a caller of another entry: given up");
         self.end_job(now, job, Answer::Interrupted);
         true
     }
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/outgoing.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/outgoing.rs
@@ -52,7 +52,7 @@
     }
 
     /// Returns whether the job is open.
-    pub fn contains(&self, job: &JobId) -> bool {
+    pub fn contains(&self, job: &str) -> bool {
         self.jobs.contains_key(job)
     }
 
--- a/crates/bulrushlatch_dispatch/src/entry/overload.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/overload.rs
@@ -243,12 +243,15 @@
     /// Returns the retry delay if an arriving job is to be refused for lack of processor time; to
     /// be called before its body is decoded.
     ///
-    /// A job that is open here or has ended here is not refused: it may have run.
+    /// A job that is open here or at another entry, or has ended here, is not refused: it may have
+    /// run.
     pub fn refuse_for_overload(&mut self, route: &Route, job: &str) -> Option<Duration> {
         if !self.overload.may_refuse() {
             return None;
         }
-        let is_known = self.jobs.contains_key(job) || self.answer_cache.get(job).is_some();
+        let is_known = self.jobs.contains_key(job)
+            || self.delegation.outgoing().contains(job)
+            || self.answer_cache.get(job).is_some();
         if is_known || !self.overload.refuses(&route.name) {
             return None;
         }
--- a/crates/bulrushlatch_dispatch/src/entry/submission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/submission.rs
@@ -39,12 +39,18 @@
 impl Entry {
     /// Handles a submission; the answer is returned by [`Entry::take_answers`].
     ///
-    /// A job that is already open gets a further caller; a finished one is answered from the cache.
+    /// A job that is already open gets a further caller; a finished one is answered from the cache. One
+    /// that is open for a caller elsewhere, or at another entry, ends.
     pub fn submit(&mut self, now: BootTime, submission: Submission) {
         self.detect_suspension(now);
         self.counters.arrived += 1;
         self.delegation.record_job(now);
         let job = submission.request.id.clone();
+        let origin = self.delegation.origin_of(&[submission.caller]);
+        if self.end_conflicting_job(now, origin, &job) {
+            self.answers.push((submission.caller, Answer::Interrupted));
+            return;
+        }
         if let Some(state) = self.jobs.get_mut(&job) {
             tracing::info!(%job, "submitted again while open: attached");
             state.callers.push(submission.caller);
--- a/crates/bulrushlatch_dispatch/tests/delegation/failures.rs
+++ b/crates/bulrushlatch_dispatch/tests/delegation/failures.rs
@@ -1,17 +1,16 @@
 //! Each failure of an origin, a delegate or the link between them by itself.
 
 use bulrushlatch_dispatch::{
-    delegation::{DelegatedOutcome, DelegationFrame},
+    delegation::DelegationFrame,
     outcome::{Answer, RunOutcome},
 };
 
 use crate::{
+    INTERRUPTED,
     fixture::{LINK, Pair, delegated_job, job_id},
     support::{ms, timing},
 };
 
-const INTERRUPTED: DelegatedOutcome = DelegatedOutcome::Answered(Answer::Interrupted);
-
 /// Returns a pair with a delegated job whose run has started.
 fn running() -> (Pair, u64) {
     let mut pair = Pair::loaded();
--- a/crates/bulrushlatch_dispatch/tests/delegation/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/delegation/main.rs
@@ -1,5 +1,6 @@
 //! Tests of jobs that one entry has another one carry out: decisions, and each failure by itself.
 
+mod conflicts;
 mod failures;
 mod fixture;
 mod load;
@@ -17,6 +18,7 @@
     support::ms,
 };
 
+const INTERRUPTED: DelegatedOutcome = DelegatedOutcome::Answered(Answer::Interrupted);
 const COMPLETED: DelegatedOutcome = DelegatedOutcome::Answered(Answer::Completed);
 
 #[test]
