No jobs are delegated while the last answers of an entry are written

In the last 200 ms of a shutdown an entry still delegated all new jobs, whose answers it could not pass on. It refuses them at once, also if the grace period is so short that it ends before jobs are refused.

--- a/crates/bulrushlatch_dispatch/src/entry/delegation/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/mod.rs
@@ -103,6 +103,8 @@
 #[derive(Debug)]
 pub struct Delegation {
     is_enabled: bool,
+    /// Whether the entry delegates no more jobs.
+    is_stopped: bool,
     /// This entry's zone.
     zone: ZoneName,
     /// Other entries by link, both those that may carry out jobs and those that may delegate them.
@@ -128,6 +130,7 @@
     pub fn disabled(zone: &str) -> Self {
         Self {
             is_enabled: false,
+            is_stopped: false,
             zone: zone.to_owned(),
             peers: BTreeMap::new(),
             share: DelegatedShare::new(DEFAULT_THRESHOLD),
@@ -144,6 +147,11 @@
         }
     }
 
+    /// Delegates no more jobs from now on.
+    pub(super) fn stop_delegating(&mut self) {
+        self.is_stopped = true;
+    }
+
     /// Records a job that this entry carries out itself, whoever its caller is.
     pub(super) fn record_job(&mut self, now: BootTime) {
         self.spare_rate.record_job(now);
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/origin.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/origin.rs
@@ -41,7 +41,7 @@
         caller: CallerId,
         request: &DelegableRequest<'_>,
     ) -> bool {
-        if !self.delegation.is_enabled {
+        if !self.delegation.is_enabled || self.delegation.is_stopped {
             return false;
         }
         self.detect_suspension(now);
--- a/crates/bulrushlatch_dispatch/src/entry/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/mod.rs
@@ -263,6 +263,12 @@
         self.is_shutting_down = true;
     }
 
+    /// Neither accepts nor delegates new jobs from now on, since their answers could not be passed on.
+    pub fn stop_accepting(&mut self) {
+        self.begin_shutdown();
+        self.delegation.stop_delegating();
+    }
+
     /// Gives up every open job, so that callers get an answer and not a broken connection when the
     /// process stops.
     pub fn give_up_open_jobs(&mut self, now: BootTime) {
--- a/crates/bulrushlatch_dispatch/tests/delegation/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/delegation/main.rs
@@ -10,7 +10,7 @@
 
 use bulrushlatch_dispatch::{
     delegation::DelegatedOutcome,
-    outcome::{Answer, RunOutcome},
+    outcome::{Answer, Refusal, RunOutcome},
 };
 
 use self::{
@@ -124,6 +124,22 @@
     assert_eq!(pair.outcome_of(caller), Some(COMPLETED));
 }
 
+/// Guards against a job that is delegated when its answer can no longer be passed on.
+#[test]
+fn an_entry_that_stops_refuses_new_jobs() {
+    let mut pair = Pair::new(0.1, 0.1);
+    pair.advance(ms(400));
+    pair.origin.begin_shutdown();
+    pair.advance(ms(100));
+    pair.origin.stop_accepting();
+    let now = pair.now;
+    pair.origin.give_up_open_jobs(now);
+    assert_eq!(pair.try_delegate("late"), None);
+    pair.submit_at_origin("late");
+    let answers = pair.origin.take_answers();
+    assert!(matches!(answers[..], [(_, Answer::Refused { reason: Refusal::ShuttingDown, .. })]));
+}
+
 /// Guards against jobs that both entries give up: an answer of the delegate that a job was not taken
 /// must come before any run, so that the origin can carry it out.
 #[test]
--- a/crates/bulrushlatch_node/src/entry/mod.rs
+++ b/crates/bulrushlatch_node/src/entry/mod.rs
@@ -278,7 +278,10 @@
             self.record_processor_load(&mut timer);
         }
         let open_jobs = self.core.borrow().open_jobs();
-        self.with_core(|core, now| core.give_up_open_jobs(now));
+        self.with_core(|core, now| {
+            core.stop_accepting();
+            core.give_up_open_jobs(now);
+        });
         // Leaves part of the reserve to write the answers that were just given; the rest is margin.
         tokio::time::sleep(SHUTDOWN_RESERVE / 4).await;
         tracing::info!(open_jobs, "entry stopped");
