Frames about delegated jobs are bounded, and invalid ones end their link

A frame with more than 1,024 jobs, cancellations or answers, a body above the origin's limit or a number that is in use is invalid; senders split what is larger. Of the jobs of a frame as many are taken as were offered.

The content of a dropped frame is lost, which left jobs open for ever at both ends. Its receiver now closes the link and ends the jobs on it. Two tests had asserted that the link goes on after an invalid echo and after a number in use: both are replaced by tests in invalid_frames.rs, which assert the count, the closed link and the end of all jobs.

--- a/crates/bulrushlatch_dispatch/src/entry/delegation/delegate.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/delegate.rs
@@ -74,7 +74,9 @@
     ) {
         self.detect_suspension(now);
         let job = request.id.clone();
-        let peer = self.delegation.peers.get(&link).map(|peer| peer.process.name.as_str());
+        // The link may have been given up since the frame arrived.
+        let Some(peer) = self.delegation.peers.get(&link) else { return };
+        let peer = peer.process.name.as_str();
         tracing::info!(
             %job, peer, link, number,
             busy_percent = self.busy_percent(),
@@ -86,7 +88,7 @@
             return;
         }
         let Some(caller) = self.delegation.incoming.open(now, link, number) else {
-            self.delegation.counters.invalid += 1;
+            self.break_link(now, link);
             return;
         };
         self.delegation.counters.accepted += 1;
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/exchange.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/exchange.rs
@@ -17,6 +17,11 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(30);
 /// Interval after which a frame that is sent anyway asks for a reply.
 const EARLY_ASK_INTERVAL: Duration = Duration::from_millis(15);
+/// Time for which an offered rate may be used up with one frame: twice that of origins, since the frame
+/// may follow an earlier and larger offer.
+const MAX_BURST: Duration = Duration::from_millis(100);
+/// Number of jobs of a frame that may be taken whatever was offered.
+const MIN_JOBS_PER_FRAME: usize = 8;
 /// Largest rate that an offer may name.
 const MAX_OFFERED_JOBS_PER_S: u32 = 100_000;
 
@@ -40,6 +45,7 @@
             received_at: now,
             asked_at: BootTime::ZERO,
             owes_reply: false,
+            offered_jobs_per_s: 0,
             tells_zone: true,
             was_silent: false,
         };
@@ -54,13 +60,29 @@
     /// Handles the loss of a link to another entry.
     pub fn peer_down(&mut self, now: BootTime, link: LinkId) {
         self.detect_suspension(now);
+        self.remove_peer(now, link, "link lost");
+    }
+
+    /// Gives up a link on which a frame is invalid, and has it closed: jobs, cancellations and answers
+    /// in that frame are lost.
+    pub(super) fn break_link(&mut self, now: BootTime, link: LinkId) {
+        self.delegation.counters.invalid += 1;
+        tracing::info!(link, "invalid frame from another entry dropped");
+        self.remove_peer(now, link, "invalid frame");
+        if !self.delegation.broken_links.contains(&link) {
+            self.delegation.broken_links.push(link);
+        }
+    }
+
+    /// Ends all jobs of a link that is not used again.
+    fn remove_peer(&mut self, now: BootTime, link: LinkId, cause: &'static str) {
         if self.delegation.peers.remove(&link).is_none() {
             return;
         }
         self.delegation.proofs.close(link);
         self.delegation.delegates.remove(link);
-        self.interrupt_delegated(link, "link lost");
-        self.abandon_origin(now, link, "link lost");
+        self.interrupt_delegated(link, cause);
+        self.abandon_origin(now, link, cause);
         self.delegation.incoming.remove_link(link);
     }
 
@@ -80,13 +102,15 @@
         mut frame: DelegationFrame,
     ) -> Vec<DelegatedJob> {
         self.detect_suspension(now);
-        let Some(peer) = self.delegation.peers.get_mut(&link) else { return Vec::new() };
-        let alive_at = BootTime::from_millis(frame.stamp_echo_ms);
-        if alive_at > now || frame.max_jobs_per_s > MAX_OFFERED_JOBS_PER_S {
-            self.delegation.counters.invalid += 1;
-            tracing::info!(link, "invalid frame from another entry dropped");
+        if !self.delegation.peers.contains_key(&link) {
+            return Vec::new();
+        }
+        if !self.is_valid(now, link, &frame) {
+            self.break_link(now, link);
             return Vec::new();
         }
+        let Some(peer) = self.delegation.peers.get_mut(&link) else { return Vec::new() };
+        let alive_at = BootTime::from_millis(frame.stamp_echo_ms);
         peer.received_at = now;
         peer.stamp_ms = peer.stamp_ms.max(frame.stamp_ms);
         peer.owes_reply |= frame.wants_reply;
@@ -108,6 +132,22 @@
         self.sort_delegated_jobs(now, link, frame.jobs)
     }
 
+    fn is_valid(&self, now: BootTime, link: LinkId, frame: &DelegationFrame) -> bool {
+        let is_in_use = |number| self.delegation.incoming.caller(link, number).is_some();
+        frame.is_well_formed()
+            && BootTime::from_millis(frame.stamp_echo_ms) <= now
+            && frame.max_jobs_per_s <= MAX_OFFERED_JOBS_PER_S
+            && !frame.jobs.iter().any(|job| is_in_use(job.number))
+    }
+
+    /// Returns the number of jobs of a frame up to which they are taken.
+    fn max_jobs_per_frame(&self, link: LinkId) -> usize {
+        let peer = self.delegation.peers.get(&link);
+        let offered_jobs_per_s = peer.map_or(0, |peer| peer.offered_jobs_per_s);
+        let offered = f64::from(offered_jobs_per_s) * MAX_BURST.as_secs_f64();
+        (offered as usize).max(MIN_JOBS_PER_FRAME)
+    }
+
     /// Refuses the jobs that this entry does not take; returns the others.
     fn sort_delegated_jobs(
         &mut self,
@@ -115,9 +155,10 @@
         link: LinkId,
         jobs: Vec<DelegatedJob>,
     ) -> Vec<DelegatedJob> {
+        let max_jobs = self.max_jobs_per_frame(link);
         let mut accepted = Vec::new();
         for job in jobs {
-            if self.accepts_delegated_job(now, link, &job) {
+            if accepted.len() < max_jobs && self.accepts_delegated_job(now, link, &job) {
                 accepted.push(job);
             } else {
                 self.refuse_delegated_job(now, link, &job);
@@ -180,7 +221,13 @@
                 || delegation.is_ask_due(now, **link, peer)
         });
         let due: Vec<LinkId> = due.map(|(link, _)| *link).collect();
-        due.into_iter().filter_map(|link| Some((link, self.delegation_frame(now, link)?))).collect()
+        let mut frames = Vec::new();
+        for link in due {
+            let frame = self.delegation_frame(now, link);
+            let parts = frame.into_iter().flat_map(DelegationFrame::into_parts);
+            frames.extend(parts.map(|part| (link, part)));
+        }
+        frames
     }
 
     fn delegation_frame(&mut self, now: BootTime, link: LinkId) -> Option<DelegationFrame> {
@@ -189,6 +236,7 @@
         let is_exchanging = delegation.is_exchanging(link);
         let peer = delegation.peers.get_mut(&link)?;
         peer.owes_reply = false;
+        peer.offered_jobs_per_s = max_jobs_per_s;
         let wants_reply = is_exchanging && now.saturating_sub(peer.asked_at) >= EARLY_ASK_INTERVAL;
         if wants_reply {
             peer.asked_at = now;
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/mod.rs
@@ -92,6 +92,8 @@
     asked_at: BootTime,
     /// Whether the other end has asked for a reply.
     owes_reply: bool,
+    /// Rate up to which this entry has last offered to take jobs.
+    offered_jobs_per_s: u32,
     /// Whether the next frame tells this entry's zone.
     tells_zone: bool,
     /// Whether the link was silent at the last tick. A process that lacks CPU time finds its links
--- a/crates/bulrushlatch_dispatch/tests/delegation/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/delegation/main.rs
@@ -3,6 +3,7 @@
 mod conflicts;
 mod failures;
 mod fixture;
+mod invalid_frames;
 mod load;
 mod offers;
 #[path = "../support/mod.rs"]
