A job handed back by a delegate is checked again for a disconnected caller

Its caller may have disconnected and submitted the job elsewhere since it was sent, as with a request that was delayed in transit. No test fails without this: in a trial with real processes that were stopped and continued, three of three such jobs were dropped without the check too, since the disconnect was read in the same turn as the answer.

--- a/crates/bulrushlatch_node/src/entry/callers.rs
+++ b/crates/bulrushlatch_node/src/entry/callers.rs
@@ -16,7 +16,7 @@
 };
 use tokio::sync::oneshot;
 
-use super::EntryProcess;
+use super::{EntryProcess, delegation::DelegationResult};
 use crate::{
     http_server::{DEFAULT_MAX_BODY_BYTES, ServerHandler, ServerRequest, text_response},
     interface::{
@@ -107,9 +107,11 @@
     ) -> Option<Answer> {
         let process = &self.process;
         if process.settings.delegation.is_some() {
-            let answer = process.delegate(host, &request.path, &request.body, head).await;
-            if answer.is_some() {
-                return answer;
+            match process.delegate(host, &request.path, &request.body, head).await {
+                DelegationResult::Answered(answer) => return Some(answer),
+                // The caller may have disconnected meanwhile.
+                DelegationResult::NotTaken => drop_if_disconnected().await,
+                DelegationResult::NotSent => {}
             }
         }
         let retry_after = process.core.borrow_mut().refuse_for_overload(route, &head.job)?;
--- a/crates/bulrushlatch_node/src/entry/delegation.rs
+++ b/crates/bulrushlatch_node/src/entry/delegation.rs
@@ -4,7 +4,7 @@
 
 use bulrushlatch_dispatch::{
     clock::BootClock,
-    delegation::{DelegatedJob, DelegatedOutcome, DelegationFrame},
+    delegation::{DelegatedJob, DelegatedOutcome, DelegationFrame, MAX_DELEGATED_BODY_BYTES},
     entry::delegation::DelegableRequest,
     frame::{DELEGATION_FRAME_VERSION, FrameVersion},
     ids::{CallerId, LinkId, ProcessId},
@@ -21,9 +21,15 @@
     link::Frame,
 };
 
-/// Largest body of a delegated job: larger ones would hold up the frames behind them, by which both
-/// entries know that the other is alive.
-const MAX_BODY_BYTES: usize = 64 << 10;
+/// What has become of a submission that another entry was to carry out.
+pub(super) enum DelegationResult {
+    /// The other entry's answer.
+    Answered(Answer),
+    /// The other entry has not taken it: this entry is to carry it out, some time after it arrived.
+    NotTaken,
+    /// It was not sent: this entry is to carry it out.
+    NotSent,
+}
 
 /// Reports to the state machine, when dropped, that the caller of a delegated job has disconnected
 /// before its outcome.
@@ -120,19 +126,18 @@
         }
     }
 
-    /// Has another entry carry out a submission; returns its answer, or `None` if this entry is to
-    /// carry it out.
+    /// Has another entry carry out a submission, if that relieves this one.
     pub(super) async fn delegate(
         &self,
         host: &str,
         path: &str,
         body: &[u8],
         head: &SubmissionHead,
-    ) -> Option<Answer> {
-        if body.len() > MAX_BODY_BYTES {
-            return None;
+    ) -> DelegationResult {
+        if body.len() > MAX_DELEGATED_BODY_BYTES {
+            return DelegationResult::NotSent;
         }
-        let body = std::str::from_utf8(body).ok()?;
+        let Ok(body) = std::str::from_utf8(body) else { return DelegationResult::NotSent };
         let started_at = self.clock.now();
         let remaining_time = head.remaining_time;
         let request = DelegableRequest { job: &head.job, host, path, body, remaining_time };
@@ -141,17 +146,19 @@
         self.pending_outcomes.borrow_mut().insert(caller, sender);
         if !self.with_core(|core, now| core.delegate(now, caller, &request)) {
             self.pending_outcomes.borrow_mut().remove(&caller);
-            return None;
+            return DelegationResult::NotSent;
         }
         let _guard = DelegatedCallerGuard { process: self, caller };
         // The sender is dropped only after it has sent the outcome, so the fallback is not used.
         let outcome = receiver.await.unwrap_or(DelegatedOutcome::Answered(Answer::Interrupted));
-        let DelegatedOutcome::Answered(answer) = outcome else { return None };
+        let DelegatedOutcome::Answered(answer) = outcome else {
+            return DelegationResult::NotTaken;
+        };
         let took = self.clock.now().saturating_sub(started_at);
         self.answer_latency.observe(took.as_secs_f64());
         let took_ms = took.as_millis() as u64;
         tracing::info!(job = %head.job, took_ms, %answer, "answered by another entry");
-        Some(answer)
+        DelegationResult::Answered(answer)
     }
 
     /// Hands the outcomes of delegated jobs to their callers, closes the links to silent entries, and
