--- a/crates/bulrushlatch_dispatch/src/entry/delegation/delegate.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/delegate.rs
@@ -15,6 +15,7 @@
     super::{Entry, Submission, agent_view::AgentView},
     fresh_limit,
     incoming::Incoming,
+    proofs::OriginId,
     silence_limit,
     spare_rate::REFUSAL_BUSY_SHARE,
 };
@@ -73,41 +74,49 @@
     ) {
         self.detect_suspension(now);
         let job = request.id.clone();
-        let peer = self.delegation.peers.get(&link).map(|peer| peer.process.name.as_str());
+        // The link may have been given up since the frame arrived.
+        let Some(peer) = self.delegation.peers.get(&link) else { return };
+        let peer = peer.process.name.as_str();
         tracing::info!(
             %job, peer, link, number,
             busy_percent = self.processor_load.busy_percent(),
             spare_jobs_per_s = self.spare_jobs_per_s(now),
             "accepted from another entry"
         );
-        if self.end_conflicting_job(now, link, &job) {
+        if self.end_conflicting_job(now, Some(link), &job) {
             self.answer_delegated(link, number, Answer::Interrupted);
             return;
         }
         let Some(caller) = self.delegation.incoming.open(now, link, number) else {
-            self.delegation.counters.invalid += 1;
+            self.break_link(now, link);
             return;
         };
         self.delegation.counters.accepted += 1;
         self.submit(now, Submission { caller, route, request, remaining_time });
     }
 
-    /// Ends the job with this id if it is open for a caller other than the one at the other end of
-    /// `link`; returns whether it was.
+    /// Ends a job that is open for other callers than the one that submits it now; returns whether it
+    /// was. `origin` is the entry from which it has arrived now; `None` stands for a caller of this
+    /// entry.
     ///
     /// The runs of a job are bound to the liveness of one origin, so callers at different entries cannot
     /// share it. The earlier caller's connection has broken, since callers submit a job again only then.
-    fn end_conflicting_job(&mut self, now: BootTime, link: LinkId, job: &JobId) -> bool {
+    pub(in super::super) fn end_conflicting_job(
+        &mut self,
+        now: BootTime,
+        origin: Option<OriginId>,
+        job: &JobId,
+    ) -> bool {
         if self.delegation.outgoing.contains(job) {
             self.delegation.outgoing.cancel(job, Answer::Interrupted);
             self.delegation.has_pending = true;
             return true;
         }
         let Some(state) = self.jobs.get(job) else { return false };
-        if self.delegation.origin_of(&state.callers) == Some(link) {
+        if self.delegation.origin_of(&state.callers) == origin {
             return false;
         }
-        tracing::info!(%job, link, "open for a caller of another entry: given up");
+        tracing::info!(%job, origin, "open for a caller of another entry: given up");
         self.end_job(now, job, Answer::Interrupted);
         true
     }
--- a/crates/bulrushlatch_dispatch/src/entry/delegation/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/delegation/mod.rs
@@ -94,6 +94,8 @@
     asked_at: BootTime,
     /// Whether the other end has asked for a reply that is not sent yet.
     is_reply_due: bool,
+    /// Rate up to which this entry has last offered to take jobs.
+    offered_jobs_per_s: u32,
     /// Whether the next frame tells this entry's zone.
     is_zone_due: bool,
     /// Whether the link was silent at the last tick. A process that lacks CPU time finds its links
@@ -105,6 +107,8 @@
 #[derive(Debug)]
 pub struct Delegation {
     is_enabled: bool,
+    /// Whether the entry delegates no more jobs.
+    is_stopped: bool,
     /// This entry's zone.
     zone: ZoneName,
     /// Other entries by link, both those that may carry out jobs and those that may delegate them.
@@ -137,6 +141,7 @@
     pub fn disabled(zone: &str) -> Self {
         Self {
             is_enabled: false,
+            is_stopped: false,
             zone: zone.to_owned(),
             peers: BTreeMap::new(),
             share: DelegatedShare::new(DEFAULT_THRESHOLD),
@@ -153,6 +158,11 @@
         }
     }
 
+    /// Delegates no more jobs from now on.
+    pub(super) fn stop_delegating(&mut self) {
+        self.is_stopped = true;
+    }
+
     /// Records a job that this entry carries out itself, whoever its caller is.
     pub(super) fn record_job(&mut self, now: BootTime) {
         self.spare_rate.record_job(now);
--- a/crates/bulrushlatch_dispatch/tests/delegation/failures.rs
+++ b/crates/bulrushlatch_dispatch/tests/delegation/failures.rs
@@ -1,17 +1,16 @@
 //! Each failure of an origin, a delegate or the link between them by itself.
 
 use bulrushlatch_dispatch::{
-    delegation::{DelegatedOutcome, DelegationFrame},
+    delegation::DelegationFrame,
     outcome::{Answer, RunOutcome},
 };
 
 use crate::{
-    fixture::{LINK, Pair},
+    INTERRUPTED,
+    fixture::{LINK, Pair, delegated_job, job_id},
     support::{ms, timing},
 };
 
-const INTERRUPTED: DelegatedOutcome = DelegatedOutcome::Answered(Answer::Interrupted);
-
 /// Returns a pair with a delegated job whose run has started.
 fn running() -> (Pair, u64) {
     let mut pair = Pair::loaded();
@@ -158,22 +157,33 @@
     assert_eq!(pair.delegate.delegation_counters().refused, 1);
 }
 
+/// Guards against a job without a caller that runs to its end: its cancellation reached the delegate
+/// with the job, and was handled before it.
 #[test]
-fn an_echo_from_the_future_is_dropped_and_counted() {
+fn a_job_whose_caller_leaves_before_its_frame_is_sent_does_not_start() {
     let mut pair = Pair::loaded();
-    let future_ms = pair.now_ms() + 1_000;
-    let frame = DelegationFrame { stamp_echo_ms: future_ms, ..DelegationFrame::default() };
-    pair.deliver_to_delegate(LINK, frame);
-    let frame = DelegationFrame { max_jobs_per_s: u32::MAX, ..DelegationFrame::default() };
-    pair.deliver_to_delegate(LINK, frame);
-    assert_eq!(pair.delegate.delegation_counters().invalid, 2);
+    let caller = pair.try_delegate("job").expect("the origin is overloaded");
+    let now = pair.now;
+    pair.origin.caller_gone(now, caller);
+    for (_, frame) in pair.origin.delegation_frames(now) {
+        assert!(frame.jobs.is_empty() && frame.cancelled.is_empty(), "{frame:?}");
+    }
+    pair.advance(ms(20));
+    assert_eq!(pair.origin.open_jobs(), 0);
+    assert!(pair.delegate_agent.take_starts().is_empty());
 }
 
-/// Guards against two jobs with one caller: a peer that numbers two open jobs alike.
+/// Guards against the same from an origin that sends both.
 #[test]
-fn a_number_that_is_in_use_is_dropped_and_counted() {
-    let (mut pair, _) = running();
-    pair.deliver_job("another", pair.now_ms());
-    assert_eq!(pair.delegate.delegation_counters().invalid, 1);
-    assert_eq!(pair.delegate.open_jobs(), 1);
+fn a_job_that_its_own_frame_cancels_does_not_start() {
+    let mut pair = Pair::loaded();
+    let frame = DelegationFrame {
+        stamp_echo_ms: pair.now_ms(),
+        jobs: vec![delegated_job(1, "cancelled"), delegated_job(2, "other")],
+        cancelled: vec![1],
+        ..DelegationFrame::default()
+    };
+    pair.deliver_to_delegate(LINK, frame);
+    assert_eq!(pair.delegate.state(&job_id("cancelled")), Answer::UnknownJob);
+    assert_eq!(pair.delegate.state(&job_id("other")), Answer::Running);
 }
--- a/crates/bulrushlatch_dispatch/tests/delegation/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/delegation/main.rs
@@ -1,7 +1,9 @@
 //! Tests of jobs that one entry has another one carry out: decisions, and each failure by itself.
 
+mod conflicts;
 mod failures;
 mod fixture;
+mod invalid_frames;
 mod load;
 mod offers;
 #[path = "../support/mod.rs"]
@@ -9,7 +11,7 @@
 
 use bulrushlatch_dispatch::{
     delegation::DelegatedOutcome,
-    outcome::{Answer, RunOutcome},
+    outcome::{Answer, Refusal, RunOutcome},
 };
 
 use self::{
@@ -17,6 +19,7 @@
     support::ms,
 };
 
+const INTERRUPTED: DelegatedOutcome = DelegatedOutcome::Answered(Answer::Interrupted);
 const COMPLETED: DelegatedOutcome = DelegatedOutcome::Answered(Answer::Completed);
 
 #[test]
@@ -122,6 +125,22 @@
     assert_eq!(pair.outcome_of(caller), Some(COMPLETED));
 }
 
+/// Guards against a job that is delegated when its answer can no longer be passed on.
+#[test]
+fn an_entry_that_stops_refuses_new_jobs() {
+    let mut pair = Pair::new(0.1, 0.1);
+    pair.advance(ms(400));
+    pair.origin.begin_shutdown();
+    pair.advance(ms(100));
+    pair.origin.stop_accepting();
+    let now = pair.now;
+    pair.origin.give_up_open_jobs(now);
+    assert_eq!(pair.try_delegate("late"), None);
+    pair.submit_at_origin("late");
+    let answers = pair.origin.take_answers();
+    assert!(matches!(answers[..], [(_, Answer::Refused { reason: Refusal::ShuttingDown, .. })]));
+}
+
 /// Guards against jobs that both entries give up: an answer of the delegate that a job was not taken
 /// must come before any run, so that the origin can carry it out.
 #[test]
