Fuzz of one run per task: one loop for random cases, with and without delegation

The two tests run by hand had the same loop, count and assertion; both call run_random_cases now, and their assertions are the same. Also a missing blank line between a constant and a type.

--- a/crates/bulrushlatch_dispatch/src/entry/admission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/admission.rs
@@ -13,6 +13,7 @@
 /// Share of [`Demand::max_wait`] that the expected wait may use; the rest covers errors of the
 /// estimate.
 const WAIT_SHARE: f64 = 0.75;
+
 /// Requirements of a job.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand {
--- a/crates/bulrushlatch_dispatch/tests/one_run/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/main.rs
@@ -42,14 +42,18 @@
 #[test]
 #[ignore = "runs for ONE_RUN_SECONDS, by default 60"]
 fn longer() {
+    run_random_cases(|seed| run_case(seed, None));
+}
+
+/// Runs cases of random seeds for ONE_RUN_SECONDS and prints each failure.
+fn run_random_cases(run_case: impl Fn(u64) -> Result<world::Summary, String>) {
     let seconds = std::env::var("ONE_RUN_SECONDS").ok().and_then(|text| text.parse().ok());
     let end = std::time::Instant::now() + std::time::Duration::from_secs(seconds.unwrap_or(60));
-    let mut run = 0;
-    let mut failed = 0;
+    let (mut run, mut failed) = (0, 0);
     while std::time::Instant::now() < end {
         let seed = fastrand::u64(..);
         run += 1;
-        if let Err(violation) = run_case(seed, None) {
+        if let Err(violation) = run_case(seed) {
             failed += 1;
             println!("seed {seed}: {violation}");
         }
@@ -223,19 +227,7 @@
 #[test]
 #[ignore = "runs for ONE_RUN_SECONDS, by default 60"]
 fn longer_delegating() {
-    let seconds = std::env::var("ONE_RUN_SECONDS").ok().and_then(|text| text.parse().ok());
-    let end = std::time::Instant::now() + std::time::Duration::from_secs(seconds.unwrap_or(60));
-    let (mut run, mut failed) = (0, 0);
-    while std::time::Instant::now() < end {
-        let seed = fastrand::u64(..);
-        run += 1;
-        if let Err(violation) = delegating_case(seed, None) {
-            failed += 1;
-            println!("seed {seed}: {violation}");
-        }
-    }
-    println!("{run} cases, {failed} failed");
-    assert_eq!(failed, 0);
+    run_random_cases(|seed| delegating_case(seed, None));
 }
 
 /// Runs the case with delegation of the seed in ONE_RUN_CASE and prints its plan and log.
