Agents tell crashed targets from those that leave, in logs and metrics

The line 'target lost' was the same for both and named no tasks, so the hypotheses of the incident of crashing tasks could be told apart only by joining the lines of all processes. It now has the kind of end, and each run at a crashed target has a line with its entry and run time. New counter target_crashes. No decision changes.

--- a/crates/bulrushlatch_dispatch/src/agent/incarnation.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/incarnation.rs
@@ -15,6 +15,16 @@
 /// fewer start beside one agent in a day.
 const MAX_PAST_TARGETS: usize = 64;
 
+/// How an incarnation of the target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum TargetEnd {
+    /// It had announced that it leaves.
+    Left,
+    /// It ended without having announced that.
+    Crashed,
+}
+
 impl Agent {
     /// Handles the announcement of a target.
     pub fn handle_announcement(&mut self, announcement: Announcement) {
@@ -38,6 +48,16 @@
         }
     }
 
+    /// Counts a crash and logs the tasks that may have caused it.
+    fn record_crash(&mut self, now: BootTime, target: &TargetId) {
+        self.counters.target_crashes += 1;
+        for run in self.runs.values() {
+            let ran_ms = now.saturating_sub(run.start_sent_at).as_millis() as u64;
+            let is_started = run.started_at.is_some();
+            tracing::info!(%target, task = %run.task, entry = %run.owner, ran_ms, is_started, "run at a target that crashed");
+        }
+    }
+
     fn adopt_target(&mut self, announcement: Announcement) {
         tracing::info!(
             target = %announcement.id, service = %announcement.service,
@@ -66,7 +86,7 @@
     /// Handles the message that the target has left.
     pub fn handle_departure(&mut self, now: BootTime, id: &TargetId) {
         if self.target_id() == Some(id) {
-            self.retire_target(now);
+            self.retire_target(now, TargetEnd::Left);
         }
     }
 
@@ -76,7 +96,10 @@
             return;
         }
         match error {
-            PollError::Absent | PollError::OtherTarget => self.retire_target(now),
+            PollError::Absent | PollError::OtherTarget => {
+                let end = self.target_end();
+                self.retire_target(now, end);
+            }
             PollError::Restarted => self.replace_restarted_target(now),
             PollError::NoAnswer => {
                 if let Some(target) = &mut self.target {
@@ -104,14 +127,26 @@
             }
         }
         tracing::info!(unsettled_runs = kept.len(), "target restarted");
-        self.retire_target(now);
+        let end = self.target_end();
+        self.retire_target(now, end);
         self.runs = kept;
     }
 
+    /// Returns how a target that is gone without a message has ended.
+    fn target_end(&self) -> TargetEnd {
+        let is_leaving = self.target.as_ref().is_some_and(|target| target.announcement.is_leaving);
+        if is_leaving { TargetEnd::Left } else { TargetEnd::Crashed }
+    }
+
     /// Ends the present incarnation of the target and reports its runs as lost.
-    fn retire_target(&mut self, now: BootTime) {
+    fn retire_target(&mut self, now: BootTime, end: TargetEnd) {
         let Some(target) = self.target.take() else { return };
-        tracing::info!(target = %target.announcement.id, runs = self.runs.len(), "target lost");
+        tracing::info!(
+            target = %target.announcement.id, %end, runs = self.runs.len(), "target lost"
+        );
+        if end == TargetEnd::Crashed {
+            self.record_crash(now, &target.announcement.id);
+        }
         self.past_targets.insert(target.announcement.id);
         self.resend_profiles();
         while self.past_targets.len() > MAX_PAST_TARGETS {
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -88,6 +88,8 @@
     pub stopped: u64,
     /// Runs that ended as [`RunOutcome::Lost`].
     pub lost: u64,
+    /// Incarnations of the target that ended without having announced that they leave.
+    pub target_crashes: u64,
     /// Start orders of which no run began.
     pub not_started: u64,
     /// Runs stopped because their entry was silent for too long.
--- a/crates/bulrushlatch_node/src/agent/mod.rs
+++ b/crates/bulrushlatch_node/src/agent/mod.rs
@@ -280,6 +280,7 @@
                 ("failed_runs", "Runs that failed", counters.failed),
                 ("stopped_runs", "Runs that were stopped", counters.stopped),
                 ("lost_runs", "Runs whose lease or target ended", counters.lost),
+                ("target_crashes", "Targets that ended without leaving", counters.target_crashes),
                 ("fruitless_starts", "Start orders that began nothing", counters.not_started),
                 ("orphaned_runs", "Runs stopped as their entry fell silent", counters.orphaned),
                 (
