--- a/crates/bulrushlatch_dispatch/tests/one_run/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/main.rs
@@ -120,6 +120,35 @@
     assert!(completed * 10 > submitted * 6, "{completed} of {submitted}");
 }
 
+/// Every how many jobs one crashes its targets in the cases about that.
+const CRASHING_JOB_INTERVAL: usize = 25;
+
+/// Guards against a task that crashes one target after another because its lost runs are repeated
+/// without a limit.
+#[test]
+fn a_task_that_crashes_its_targets_is_given_up() {
+    for seed in 0..20 {
+        let world = World::new(fastrand::Rng::with_seed(seed), Plan::without_faults(), None);
+        let result = world.with_crashing_jobs(CRASHING_JOB_INTERVAL).run();
+        assert_eq!(result.map(drop), Ok(()), "seed {seed}");
+    }
+}
+
+/// Guards against the crashes under a task being forgotten with the entry, agent or link through which
+/// they were known.
+#[test]
+fn a_task_that_crashes_its_targets_is_given_up_while_processes_fail() {
+    let kinds = [Fault::KillEntry, Fault::FreezeEntry, Fault::ResetLink, Fault::KillAgent];
+    for seed in 0..60 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let faults: Vec<Fault> = (0..4).map(|_| kinds[rng.usize(..kinds.len())]).collect();
+        let plan = Plan::of(&mut rng, &faults);
+        let world = World::new(rng.fork(), plan, None);
+        let result = world.with_crashing_jobs(CRASHING_JOB_INTERVAL).run();
+        assert_eq!(result.map(drop), Ok(()), "seed {seed}");
+    }
+}
+
 /// Cases in at least one of which the oracle must detect a defect.
 const DEFECT_SEEDS: u64 = 60;
 
--- a/crates/bulrushlatch_dispatch/tests/one_run/oracle.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/oracle.rs
@@ -7,6 +7,11 @@
     outcome::Answer,
 };
 
+/// Crashes of one task after which its starts are counted, as stated by the platform.
+const CRASHES_KNOWN: u32 = 3;
+/// Number of such starts that the platform forbids.
+const FORBIDDEN_STARTS: u32 = 3;
+
 /// Checks starts and ends of runs, and answers to callers.
 #[derive(Debug, Default)]
 pub struct Oracle {
@@ -15,6 +20,10 @@
     done: BTreeSet<TaskKey>,
     /// Whether each job has had no other answer than a refusal.
     only_refused: BTreeMap<JobId, bool>,
+    /// Number of targets that each task has crashed.
+    crashes: BTreeMap<TaskKey, u32>,
+    /// Number of starts of each task after it had crashed [`CRASHES_KNOWN`] targets.
+    starts_after_crashes: BTreeMap<TaskKey, u32>,
     /// The first violation.
     violation: Option<String>,
 }
@@ -24,6 +33,15 @@
     pub fn record_start(&mut self, now_ms: u64, target: usize, task: &TaskKey, attempt: u32) {
         tracing::info!(now_ms, target, %task, attempt, "ORACLE began");
         self.started.insert(task.job.clone());
+        if self.crashes(task) >= CRASHES_KNOWN {
+            let starts = self.starts_after_crashes.entry(task.clone()).or_default();
+            *starts += 1;
+            if *starts >= FORBIDDEN_STARTS {
+                self.violation.get_or_insert(format!(
+                    "{now_ms} ms: {task} begins again though it crashes each target"
+                ));
+            }
+        }
         if let Some((other_target, other_attempt)) =
             self.running.insert(task.clone(), (target, attempt))
         {
@@ -33,6 +51,21 @@
         }
     }
 
+    /// Records that a task has crashed a target.
+    pub fn record_crash(&mut self, task: &TaskKey) {
+        *self.crashes.entry(task.clone()).or_default() += 1;
+    }
+
+    /// Returns the number of targets that a task has crashed.
+    pub fn crashes(&self, task: &TaskKey) -> u32 {
+        self.crashes.get(task).copied().unwrap_or_default()
+    }
+
+    /// Returns the largest number of targets that one task has crashed.
+    pub fn most_crashes(&self) -> u32 {
+        self.crashes.values().copied().max().unwrap_or_default()
+    }
+
     /// Returns the tasks that run, each with the number of its target.
     pub fn running(&self) -> Vec<(TaskKey, usize)> {
         self.running.iter().map(|(task, (target, _))| (task.clone(), *target)).collect()
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/calls.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/calls.rs
@@ -79,6 +79,10 @@
         is_answered: bool,
     ) {
         let now_ms = self.now_ms;
+        if self.is_absent(agent) {
+            self.refuse_connection(agent, incarnation, call);
+            return;
+        }
         let lease_cap_ms = if self.defect == Some(Defect::LongLease) { 3_000 } else { 1_000 };
         let target = &mut self.targets[agent];
         let clock_ms = target.clock_ms(now_ms);
@@ -93,6 +97,9 @@
                 start.lease_until_ms = start.lease_until_ms.min(clock_ms + lease_cap_ms);
                 let run_ms = start.payload.parse().unwrap_or(100);
                 let reply = target.start(now_ms, &start, run_ms, &mut self.oracle);
+                if reply == StartReply::Started {
+                    self.crash_if_started(agent, &start.task);
+                }
                 if is_answered {
                     let clock_ms = Some(clock_ms);
                     self.after(1, Event::Started { agent, incarnation, start, reply, clock_ms });
@@ -198,7 +205,7 @@
         };
         let incarnation = self.agents[agent].id.incarnation;
         let is_awake = self.now_ms >= self.agents[agent].suspended_until_ms;
-        if is_awake && self.agents[agent].core.is_some() {
+        if is_awake && !self.is_absent(agent) && self.agents[agent].core.is_some() {
             if self.targets[agent].is_leaving {
                 self.targets[agent].leave_received_ms.get_or_insert(self.now_ms);
             }
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/events.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/events.rs
@@ -111,6 +111,11 @@
         /// Whether the agent polls again after the result.
         repeats: bool,
     },
+    /// A task crashes the target with the given id.
+    TargetCrash {
+        agent: usize,
+        id: String,
+    },
     /// A target announces itself to its agent.
     Announcement {
         agent: usize,
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/faults.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/faults.rs
@@ -70,7 +70,7 @@
         self.after(fault.duration_ms, Event::EndFault(fault));
     }
 
-    fn replace_target(&mut self, agent: usize) {
+    pub(super) fn replace_target(&mut self, agent: usize) {
         let mut target = self.new_target(agent);
         std::mem::swap(&mut target, &mut self.targets[agent]);
         target.crash(&mut self.oracle);
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/jobs.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/jobs.rs
@@ -20,6 +20,7 @@
             submitted_ms: self.now_ms,
             is_over: false,
             is_completed: false,
+            crashes_targets: self.is_crashing_job(number),
             open_submission: None,
         };
         self.jobs.push(job);
@@ -145,8 +146,10 @@
     pub(super) fn check_recovery(&self) -> Result<(), String> {
         let recovered_ms = BOOT_MS + RECOVERED_MS;
         let late_jobs = self.jobs.iter().filter(|job| job.submitted_ms >= recovered_ms);
-        let incomplete: Vec<&JobId> =
-            late_jobs.filter(|job| !job.is_completed).map(|job| &job.id).collect();
+        let incomplete: Vec<&JobId> = late_jobs
+            .filter(|job| !job.is_completed && !job.crashes_targets)
+            .map(|job| &job.id)
+            .collect();
         if incomplete.is_empty() {
             return Ok(());
         }
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/mod.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/mod.rs
@@ -3,12 +3,14 @@
 //! - [`events`]: scheduled events
 //! - [`processes`]: entries, agents and their clocks
 //! - [`calls`]: calls of agents to their targets, and announcements of targets
+//! - [`crashes`]: tasks that crash each target which starts them
 //! - [`links`]: links between agents and entries
 //! - [`jobs`]: jobs and their callers
 //! - [`peers`]: links between entries, and jobs that they delegate
 //! - [`faults`]: injection of faults
 
 mod calls;
+mod crashes;
 mod events;
 mod faults;
 mod jobs;
@@ -153,6 +155,8 @@
     submitted_ms: u64,
     is_over: bool,
     is_completed: bool,
+    /// Whether its first task crashes each target that starts it.
+    crashes_targets: bool,
     /// The entry, its incarnation and the caller of the present submission, if one is open.
     open_submission: Option<(usize, u64, CallerId)>,
 }
@@ -183,6 +187,10 @@
     late_targets: BTreeMap<usize, u64>,
     /// End of [`Fault::LostStops`] at each target.
     lost_stops: BTreeMap<usize, u64>,
+    /// End of the absence of each crashed target.
+    absent_targets: BTreeMap<usize, u64>,
+    /// Every how many jobs one crashes targets; 0 for none.
+    crashing_job_interval: usize,
     jobs: Vec<Job>,
     callers: BTreeMap<CallerId, usize>,
     last_caller: CallerId,
@@ -226,6 +234,8 @@
             silent_targets: BTreeMap::new(),
             late_targets: BTreeMap::new(),
             lost_stops: BTreeMap::new(),
+            absent_targets: BTreeMap::new(),
+            crashing_job_interval: 0,
             jobs: Vec::new(),
             callers: BTreeMap::new(),
             last_caller: 0,
@@ -376,6 +386,7 @@
             Event::Polled { agent, incarnation, id, polled_ms, status, repeats } => {
                 self.handle_poll_result(agent, incarnation, &id, polled_ms, status, repeats);
             }
+            Event::TargetCrash { agent, id } => self.crash_target(agent, &id),
             Event::Announcement { agent } => self.announce(agent),
             Event::NewJob => self.new_job(),
             Event::Submit { job } => self.submit(job),
