--- a/crates/bulrushlatch_dispatch/tests/isolation.rs
+++ b/crates/bulrushlatch_dispatch/tests/isolation.rs
@@ -4,7 +4,7 @@
 
 use bulrushlatch_dispatch::{
     crash::{CrashNotice, CrashRecord, CrashedRun, ISOLATION_NOTICE_LIFETIME, IsolationNotice},
-    frame::{Profile, StartOrder},
+    frame::StartOrder,
     outcome::{Answer, Refusal, RunOutcome},
 };
 use support::{EntryFixture, SimulatedAgent, job, ms};
@@ -200,7 +200,7 @@
     fixture.submit(job("quick-1", 1, 1_000, ms(60)), "quick");
     let starts = take_starts(&mut fixture);
     crash(&mut fixture, starts[0].0, 9, &starts[0].1);
-    let profile = std::mem::replace(&mut fixture.agents[starts[0].0].profile, Profile::default());
+    let profile = std::mem::take(&mut fixture.agents[starts[0].0].profile);
     fixture.advance(ms(100));
     let caller = fixture.submit(job("quick-2", 1, 1_000, ms(60)), "quick");
     assert!(matches!(fixture.answer_to(caller), Some(Answer::Refused { .. })));
