A target whose capacity changes while it runs: starts are checked again when sent, and entries learn of it

The agent now checks the tracked runs against the newest capacity before each sending; a start that may have been carried out is stopped instead. A changed capacity makes the next frame carry the profile, which no longer resets the learned speed of that target.

--- a/crates/bulrushlatch_dispatch/src/agent/incarnation.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/incarnation.rs
@@ -66,7 +66,15 @@
         }
         let was_leaving = target.announcement.is_leaving;
         let is_leaving = announcement.is_leaving;
+        let old_capacity = target.announcement.capacity;
         target.announcement = announcement;
+        if old_capacity != target.announcement.capacity {
+            let Announcement { id, capacity, .. } = &target.announcement;
+            tracing::info!(target = %id, from = ?old_capacity, to = ?capacity, "target's capacity changed");
+            self.resend_profiles();
+            self.mark_pending_update();
+        }
+        let Some(target) = &self.target else { return };
         if was_leaving != is_leaving {
             tracing::info!(target = %target.announcement.id, is_leaving, "target changed state");
             self.mark_pending_update();
--- a/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
@@ -55,6 +55,11 @@
             self.abandon_start(now, task, Obstacle::Unavailable);
             return None;
         }
+        // The target may have shrunk since the order was accepted, or since it was sent first.
+        if !self.runs_fit() {
+            self.abandon_start(now, task, Obstacle::NoCapacity);
+            return None;
+        }
         let Some(lease_until_ms) = self.prepare_renewal(now) else {
             self.abandon_start(now, task, Obstacle::Unavailable);
             return None;
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -302,11 +302,22 @@
         if now < target.full_until {
             return Size::default();
         }
+        target.announcement.capacity.saturating_sub(&self.occupied())
+    }
+
+    /// Returns the sum of the sizes of tracked runs.
+    fn occupied(&self) -> Size {
         let mut occupied = Size::default();
         for run in self.runs.values() {
             occupied.add(&run.size);
         }
-        target.announcement.capacity.saturating_sub(&occupied)
+        occupied
+    }
+
+    /// Returns whether the tracked runs are within the target's capacity.
+    fn runs_fit(&self) -> bool {
+        let target = self.target.as_ref();
+        target.is_some_and(|target| self.occupied().fits(&target.announcement.capacity))
     }
 
     /// Returns whether new tasks are accepted.
--- a/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/agent_view.rs
@@ -179,12 +179,16 @@
         let undelivered = if self.is_synced { Vec::new() } else { self.sync() };
         self.offer = frame.offer;
         if let Some(profile) = &frame.profile {
+            // Otherwise the target or its agent has started, or the link was opened again.
+            let is_resized = profile.total != self.profile.total
+                && *profile == Profile { total: profile.total, ..self.profile.clone() };
+            if !is_resized {
+                self.speed = TargetSpeed::default();
+            }
             self.profile = profile.clone();
             if !profile.service.is_empty() {
                 self.last_service = profile.service.clone();
             }
-            // The target or its agent has started, or the link was opened again.
-            self.speed = TargetSpeed::default();
         }
         self.received_at = now;
         self.stamps.record(now, frame.stamp_ms);
--- a/crates/bulrushlatch_dispatch/tests/agent/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/main.rs
@@ -1,5 +1,6 @@
 //! Tests of single decisions of an agent.
 
+mod capacity;
 mod cordon;
 mod crashes;
 mod demand;
--- a/crates/bulrushlatch_dispatch/tests/one_run/fault.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/fault.rs
@@ -52,6 +52,8 @@
     StuckTarget,
     /// A target announces that it leaves, and is replaced a while later.
     LeaveTarget,
+    /// A target shrinks to a small part of its capacity for a while; what runs there goes on.
+    ShrinkTarget,
     /// Stops of runs of delegated jobs at a target get lost for a while; other calls do not.
     LostStops,
     /// Two entries cannot reach each other for a while; frames arrive afterwards.
--- a/crates/bulrushlatch_dispatch/tests/one_run/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/main.rs
@@ -120,6 +120,20 @@
     assert!(completed * 10 > submitted * 6, "{completed} of {submitted}");
 }
 
+/// Guards against starts beyond the capacity of a target that has shrunk while it runs.
+#[test]
+fn targets_that_shrink_and_grow_get_no_start_beyond_their_capacity() {
+    let others = [Fault::KillEntry, Fault::FreezeEntry, Fault::CutLink, Fault::ResetLink];
+    for seed in 0..60 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut faults = vec![Fault::ShrinkTarget; 4];
+        faults.push(others[rng.usize(..others.len())]);
+        let plan = Plan::of(&mut rng, &faults);
+        let result = World::new(rng.fork(), plan, None).run();
+        assert_eq!(result.map(drop), Ok(()), "seed {seed}");
+    }
+}
+
 /// Every how many jobs one crashes its targets in the cases about that.
 const CRASHING_JOB_INTERVAL: usize = 26;
 
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/faults.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/faults.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Tasks that fit into a target that has shrunk.
+const SHRUNK_SLOTS: usize = 4;
+
 impl World {
     pub(super) fn begin_fault(&mut self, fault: InjectedFault) {
         let (entry, agent) = (fault.entry % self.entries.len(), fault.agent % AGENTS);
@@ -66,6 +69,7 @@
             Fault::FailingTarget => self.targets[agent].fails = true,
             Fault::StuckTarget => self.targets[agent].is_stuck = true,
             Fault::LeaveTarget => self.targets[agent].is_leaving = true,
+            Fault::ShrinkTarget => self.targets[agent].resize(self.now_ms, SHRUNK_SLOTS),
         }
         self.after(fault.duration_ms, Event::EndFault(fault));
     }
@@ -82,6 +86,7 @@
             Fault::FailingTarget => self.targets[agent].fails = false,
             Fault::StuckTarget => self.targets[agent].is_stuck = false,
             Fault::LeaveTarget => self.replace_target(agent),
+            Fault::ShrinkTarget => self.targets[agent].resize(self.now_ms, SLOTS),
             _ => {}
         }
     }
--- a/crates/bulrushlatch_dispatch/tests/target_speed.rs
+++ b/crates/bulrushlatch_dispatch/tests/target_speed.rs
@@ -177,6 +177,10 @@
     assert_eq!(view.speed.runs(), 1);
     view.receive(BOOT, &frame(Some(Profile::default())));
     assert_eq!(view.speed.runs(), 0);
+    view.speed.record(BOOT, -0.5, RUN_VARIANCE);
+    let total = Size { cpu_millis: 4_000, memory_mb: 1_000, accelerators: 0 };
+    view.receive(BOOT, &frame(Some(Profile { total, ..Profile::default() })));
+    assert_eq!(view.speed.runs(), 1, "the same target, whose capacity has changed");
 }
 
 /// Returns the summary of a service of which a quarter is slow, with a slow and a fast target.
