Runs of a target that fell silent count at its crash, once another incarnation answers

A target may crash without a trace, so that calls to it only time out. The agent then ended the runs when the lease was over, and recorded a crash without them when the next incarnation was found: a task that makes its targets fall silent was repeated without a limit of crashes, but for that of five lost runs in one submission. They are remembered now until the target answers again or is replaced. Two tests in agent/crashes.

--- a/crates/bulrushlatch_dispatch/src/agent/crash_log.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/crash_log.rs
@@ -9,10 +9,10 @@
         IsolationNotice,
     },
     frame::CRASH_FRAME_VERSION,
-    ids::{JobId, LinkId},
+    ids::{JobId, LinkId, TaskKey},
 };
 
-use super::{Agent, target::TargetId};
+use super::Agent;
 
 /// Crashes that are remembered; they are told to entries that start later.
 const MAX_RECORDS: usize = 64;
@@ -42,20 +42,35 @@
 
 impl Agent {
     /// Records a crash of the target with the tasks that may have caused it.
-    pub(super) fn record_crash(&mut self, now: BootTime, target: &TargetId) {
+    pub(super) fn record_crash(&mut self, now: BootTime) {
+        let Some(target) = self.target_id().cloned() else { return };
         self.counters.target_crashes += 1;
-        let mut runs = Vec::new();
+        let mut runs = self.take_silent_runs();
         for run in self.runs.values() {
             let ran_ms = now.saturating_sub(run.start_sent_at).as_millis() as u64;
             let is_started = run.started_at.is_some();
             tracing::info!(%target, task = %run.task, entry = %run.owner, ran_ms, is_started, "run at a target that crashed");
             runs.push(CrashedRun { task: run.task.clone(), ran_ms });
         }
+        runs.sort_unstable_by(|left, right| left.task.cmp(&right.task));
         if !runs.is_empty() {
             self.crash_log.record(runs);
         }
     }
 
+    /// Remembers a run that has ended because the target was silent: its crash, if that is the reason,
+    /// shows when it is back.
+    pub(super) fn record_silent_run(&mut self, now: BootTime, task: &TaskKey) {
+        let (Some(run), Some(target)) = (self.runs.get(task), &mut self.target) else { return };
+        let ran_ms = now.saturating_sub(run.start_sent_at).as_millis() as u64;
+        target.silent_runs.push(CrashedRun { task: task.clone(), ran_ms });
+    }
+
+    fn take_silent_runs(&mut self) -> Vec<CrashedRun> {
+        let target = self.target.as_mut();
+        target.map(|target| std::mem::take(&mut target.silent_runs)).unwrap_or_default()
+    }
+
     /// Handles what an entry isolates at this agent's target: while that is anything, the target runs
     /// one job at a time.
     pub fn receive_isolation(&mut self, now: BootTime, notice: &IsolationNotice) {
--- a/crates/bulrushlatch_dispatch/src/agent/incarnation.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/incarnation.rs
@@ -138,13 +138,13 @@
 
     /// Ends the present incarnation of the target and reports its runs as lost.
     fn retire_target(&mut self, now: BootTime, end: TargetEnd) {
+        if end == TargetEnd::Crashed {
+            self.record_crash(now);
+        }
         let Some(target) = self.target.take() else { return };
         tracing::info!(
             target = %target.announcement.id, %end, runs = self.runs.len(), "target lost"
         );
-        if end == TargetEnd::Crashed {
-            self.record_crash(now, &target.announcement.id);
-        }
         self.past_targets.insert(target.announcement.id);
         self.resend_profiles();
         while self.past_targets.len() > MAX_PAST_TARGETS {
--- a/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
@@ -196,6 +196,7 @@
         }
         if let Some(target) = &mut self.target {
             target.record_answer(now, status.clock_ms);
+            target.silent_runs.clear();
             target.polled_at = target.polled_at.max(polled_at);
         }
         for ended in &status.ended {
@@ -370,6 +371,7 @@
         // The lease of an earlier incarnation bounds those that may have begun at a restarted target.
         let over = self.runs.values().filter(|run| run.over_by.is_none());
         for task in over.map(|run| run.task.clone()).collect::<Vec<_>>() {
+            self.record_silent_run(now, &task);
             self.finish(now, &task, RunOutcome::Lost);
         }
     }
--- a/crates/bulrushlatch_dispatch/src/agent/target.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/target.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     clock::BootTime,
+    crash::CrashedRun,
     ids::{Attempt, TaskKey},
     size::Size,
 };
@@ -146,6 +147,8 @@
     /// Runs listed by the target, but not tracked under that task and attempt, with the time of the
     /// last stop order for each.
     pub unknown_runs: BTreeMap<(String, Attempt), BootTime>,
+    /// Runs that have ended because the target was silent, until it answers a status poll.
+    pub silent_runs: Vec<CrashedRun>,
     /// Time until which the target counts as full, after it refused a start for lack of capacity.
     pub full_until: BootTime,
 }
@@ -162,6 +165,7 @@
             unanswered_at: None,
             ends_seen: 0,
             unknown_runs: BTreeMap::new(),
+            silent_runs: Vec::new(),
             full_until: BootTime::ZERO,
         }
     }
--- a/crates/bulrushlatch_dispatch/tests/agent/crashes.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/crashes.rs
@@ -100,3 +100,31 @@
     assert_eq!(fixture.take_starts().len(), 1);
     assert!(fixture.reported_outcomes().is_empty());
 }
+
+/// Guards against a task that makes its targets fall silent: the crash shows only when another
+/// incarnation answers, long after the runs have ended.
+#[test]
+fn the_runs_of_a_silent_target_were_at_a_crash_if_another_one_returns() {
+    let mut fixture = AgentFixture::new();
+    start_two_tasks(&mut fixture);
+    fixture.now += ms(2_000);
+    fixture.agent.tick(fixture.now);
+    assert_eq!(fixture.reported_outcomes(), [RunOutcome::Lost, RunOutcome::Lost]);
+    assert!(notices(&mut fixture).is_empty(), "it may only have been cut off");
+    let other = PollError::OtherTarget;
+    fixture.agent.handle_poll_error(fixture.now, &"target".to_owned(), other);
+    let told = notices(&mut fixture);
+    assert_eq!(told[0].crashes[0].runs.len(), 2);
+}
+
+/// Guards against blaming tasks for a target that was cut off for a while.
+#[test]
+fn the_runs_of_a_silent_target_were_at_no_crash_if_it_answers_again() {
+    let mut fixture = AgentFixture::new();
+    start_two_tasks(&mut fixture);
+    fixture.now += ms(2_000);
+    fixture.agent.tick(fixture.now);
+    fixture.poll(&bulrushlatch_dispatch::agent::target::TargetStatus::default());
+    crash(&mut fixture);
+    assert!(notices(&mut fixture).is_empty());
+}
--- a/crates/bulrushlatch_dispatch/tests/one_run/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/main.rs
@@ -240,6 +240,11 @@
     assert!(is_detected(Defect::LargerAnnouncement, &[Fault::KillEntry, Fault::KillTarget]));
 }
 
+#[test]
+fn the_oracle_detects_a_target_that_shrinks_without_an_announcement() {
+    assert!(is_detected(Defect::SilentShrink, &[Fault::ShrinkTarget, Fault::ShrinkTarget]));
+}
+
 #[test]
 fn the_oracle_detects_a_leave_that_is_not_announced() {
     let is_detected = (0..DEFECT_SEEDS).any(|seed| {
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/calls.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/calls.rs
@@ -223,7 +223,9 @@
     }
 
     fn announced_cpu_millis(&self, agent: usize) -> u64 {
-        let capacity = TASK_CPU_MILLIS * self.targets[agent].slots as u64;
+        let is_silent = self.defect == Some(Defect::SilentShrink);
+        let slots = if is_silent { SLOTS } else { self.targets[agent].slots };
+        let capacity = TASK_CPU_MILLIS * slots as u64;
         if self.defect == Some(Defect::LargerAnnouncement) { 2 * capacity } else { capacity }
     }
 }
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/mod.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/mod.rs
@@ -109,6 +109,8 @@
     IgnoresSuspension,
     /// Targets announce twice their capacity.
     LargerAnnouncement,
+    /// Targets do not announce that they shrink.
+    SilentShrink,
     /// Targets do not announce that they leave.
     SilentLeave,
     /// Delegates echo the newest stamp to agents, whatever they know of the origins of the runs there.
