--- a/crates/bulrushlatch_node/src/entry/metric_values.rs
+++ b/crates/bulrushlatch_node/src/entry/metric_values.rs
@@ -158,6 +158,11 @@
                 (core.target_speed_spread() * 100.0) as u64,
             ),
             ("slow_targets", "Targets recognised as slow", core.slow_targets() as u64),
+            (
+                "isolated_routes",
+                "Routes whose jobs start at targets of their own",
+                core.isolated_routes() as u64,
+            ),
             (
                 "cordoned_zones",
                 "Zones that receive no new tasks",
