--- a/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
@@ -1,4 +1,4 @@
-//! Starting, stopping and ending the runs at the target.
+//! Starting and ending the runs at the target.
 
 use std::time::Duration;
 
@@ -14,8 +14,6 @@
     target::{EndedRun, RunEnd, RunningRun, StartReply, TargetId, TargetStatus, TargetTimeMs},
 };
 
-/// Interval at which a stop order is sent again while its run has not ended.
-const STOP_RESEND_INTERVAL: Duration = Duration::from_millis(40);
 /// Time for which a target counts as full after it refused a start for lack of capacity.
 const FULL_DURATION: Duration = Duration::from_millis(20);
 /// Increase of the attempt when the target has seen it or a higher one.
@@ -248,30 +246,6 @@
         }
     }
 
-    fn stop_if_unknown(&mut self, now: BootTime, running: &RunningRun) {
-        let run = running.task.as_ref().and_then(|task| self.runs.get(task));
-        if run.is_some_and(|run| run.attempt == running.attempt) {
-            return;
-        }
-        let Some(target) = &mut self.target else { return };
-        let key = (running.name.clone(), running.attempt);
-        let last = target.unknown_runs.get(&key).copied();
-        if last.is_some_and(|at| now.saturating_sub(at) < STOP_RESEND_INTERVAL) {
-            return;
-        }
-        if last.is_none() {
-            self.counters.unknown_runs += 1;
-            tracing::info!(task = %running.name, attempt = running.attempt, "unknown run: stopping it");
-        }
-        target.unknown_runs.insert(key, now);
-        self.target_orders.push(TargetOrder::Stop(StopOrder {
-            target: target.announcement.id.clone(),
-            task: None,
-            name: running.name.clone(),
-            attempt: running.attempt,
-        }));
-    }
-
     /// Finishes the runs that are certainly over because the status does not list them.
     fn finish_unlisted(&mut self, now: BootTime, polled_at: BootTime, status: &TargetStatus) {
         let is_listed = |task: &TaskKey| {
@@ -293,57 +267,6 @@
         }
     }
 
-    /// Stops a run that may exist at the target.
-    pub(super) fn request_stop(&mut self, now: BootTime, task: &TaskKey) {
-        let Some(run) = self.runs.get_mut(task) else { return };
-        run.stop_requested_at.get_or_insert(now);
-        self.queue_stop(now, task);
-    }
-
-    fn queue_stop(&mut self, now: BootTime, task: &TaskKey) {
-        let Some(target) = self.target_id().cloned() else { return };
-        let Some(run) = self.runs.get_mut(task) else { return };
-        run.stop_sent_at = Some(now);
-        let (task, attempt) = (Some(task.clone()), run.attempt);
-        self.target_orders.push(TargetOrder::Stop(StopOrder {
-            target,
-            task,
-            name: String::new(),
-            attempt,
-        }));
-    }
-
-    /// Sends stop orders again to runs that have not ended since the last one.
-    pub(super) fn resend_stops(&mut self, now: BootTime) {
-        let due = self.runs.values().filter(|run| {
-            let sent_at = run.stop_sent_at.unwrap_or_default();
-            run.is_stopping() && now.saturating_sub(sent_at) >= STOP_RESEND_INTERVAL
-        });
-        for task in due.map(|run| run.task.clone()).collect::<Vec<_>>() {
-            self.queue_stop(now, &task);
-        }
-    }
-
-    /// Stops the runs of entries that have been silent for longer than the contact limit.
-    pub(super) fn stop_orphaned_runs(&mut self, now: BootTime) {
-        let limit = self.timing.contact_limit;
-        let sessions = &self.sessions;
-        let orphaned = self.runs.values().filter(|run| {
-            let alive_at =
-                sessions.get(&run.owner).map_or(BootTime::ZERO, |session| session.alive_at);
-            !run.is_stopping() && now.saturating_sub(alive_at) > limit
-        });
-        for task in orphaned.map(|run| run.task.clone()).collect::<Vec<_>>() {
-            if let Some(run) = self.runs.get(&task) {
-                let alive_at = self.sessions.get(&run.owner).map(|session| session.alive_at);
-                let silent_ms = alive_at.map(|at| now.saturating_sub(at).as_millis() as u64);
-                tracing::info!(%task, entry = %run.owner, silent_ms, "entry silent: stopping its run");
-            }
-            self.counters.orphaned += 1;
-            self.request_stop(now, &task);
-        }
-    }
-
     /// Settles the runs that may have begun at a restarted target which has not listed them: their
     /// leases have expired, unless the target is known and its lease is renewed.
     pub(super) fn settle_runs_of_restarted_target(&mut self, now: BootTime) {
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -5,7 +5,8 @@
 //! - `orders`: handles orders from entries
 //! - `frames`: frames to entries
 //! - [`demand`]: demand that entries state, and its sum
-//! - `lifecycle`: starts, stops and ends the runs at the target
+//! - `lifecycle`: starts and ends the runs at the target
+//! - `stops`: stops runs
 //! - [`run`]: one run of a task
 //! - [`session`]: the state kept for each entry
 //! - [`start_queue`]: start orders that wait until a run ends
@@ -22,6 +23,7 @@
 pub mod run;
 pub mod session;
 pub mod start_queue;
+mod stops;
 pub mod target;
 
 use std::{
