A job that was at a crash is never refused as "not run" when it is submitted again

A caller submits a job again after its entry has died; since agents tell of crashes, the next entry may know that it has run, and yet refused it with 429 for lack of room, which says that it has not run. It is answered as interrupted (504) now, and so is one that waits there and is given up. The test in isolation.rs failed without the check. The agent's part in isolation has a module of its own.

--- a/crates/bulrushlatch_dispatch/src/agent/crash_log.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/crash_log.rs
@@ -4,12 +4,9 @@
 
 use crate::{
     clock::BootTime,
-    crash::{
-        CrashNotice, CrashNumber, CrashRecord, CrashedRun, ISOLATION_NOTICE_LIFETIME,
-        IsolationNotice,
-    },
+    crash::{CrashNotice, CrashNumber, CrashRecord, CrashedRun},
     frame::CRASH_FRAME_VERSION,
-    ids::{JobId, LinkId, TaskKey},
+    ids::{LinkId, TaskKey},
 };
 
 use super::Agent;
@@ -71,17 +68,6 @@
         target.map(|target| std::mem::take(&mut target.silent_runs)).unwrap_or_default()
     }
 
-    /// Handles what an entry isolates at this agent's target: while that is anything, the target runs
-    /// one job at a time.
-    pub fn receive_isolation(&mut self, now: BootTime, notice: &IsolationNotice) {
-        self.isolated_until = if notice.is_empty() { now } else { now + ISOLATION_NOTICE_LIFETIME };
-    }
-
-    /// Returns whether a job has to wait because the target runs another one in isolation.
-    pub(super) fn is_isolated_from(&self, now: BootTime, job: &JobId) -> bool {
-        now < self.isolated_until && self.runs.keys().any(|task| task.job != *job)
-    }
-
     /// Returns the crashes to tell entries now, with their links. They are to be sent before the
     /// frames that report the runs as lost: entries decide by both whether to repeat a run.
     pub fn take_crash_notices(&mut self) -> Vec<(LinkId, CrashNotice)> {
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`crash_log`]: crashes of the target, told to entries
 //! - `incarnation`: tells the present incarnation of the target from others
+//! - `isolation`: one job at a time while jobs are isolated here
 //! - `orders`: handles orders from entries
 //! - `frames`: frames to entries
 //! - [`demand`]: demand that entries state, and its sum
@@ -18,6 +19,7 @@
 mod frames;
 pub mod health;
 mod incarnation;
+mod isolation;
 mod lifecycle;
 mod orders;
 pub mod run;
--- a/crates/bulrushlatch_dispatch/src/entry/completion.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/completion.rs
@@ -212,14 +212,14 @@
     /// Ends a job that can no longer be served: answers `Interrupted` if it may have run, and
     /// refuses it otherwise.
     pub(super) fn give_up_job(&mut self, now: BootTime, id: &JobId) {
-        self.give_up_job_until(now, id, Duration::ZERO);
+        self.give_up_job_with_wait(now, id, Duration::ZERO);
     }
 
     /// Does the same; a refusal tells the caller to come back after about `wait`.
-    pub(super) fn give_up_job_until(&mut self, now: BootTime, id: &JobId, wait: Duration) {
+    pub(super) fn give_up_job_with_wait(&mut self, now: BootTime, id: &JobId, wait: Duration) {
         let Some(job) = self.jobs.get(id) else { return };
         let waited_ms = now.saturating_sub(job.arrived_at).as_millis() as u64;
-        let may_have_run = job.may_have_run();
+        let may_have_run = self.may_have_run(job);
         tracing::info!(job = %id, waited_ms, may_have_run, "job given up");
         let answer = if may_have_run {
             self.counters.interrupted += 1;
--- a/crates/bulrushlatch_dispatch/src/entry/crash_history.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/crash_history.rs
@@ -96,6 +96,11 @@
         blames.max().unwrap_or(CrashBlame::None)
     }
 
+    /// Returns whether a target has crashed while it had a run of this job, whatever the cause.
+    pub fn has_job(&self, job: &JobId) -> bool {
+        self.tasks_of(job).next().is_some()
+    }
+
     /// Returns whether a target has crashed while it had runs of this job only.
     pub fn was_alone_at_crash(&self, job: &JobId) -> bool {
         let ids = self.tasks_of(job).flat_map(|(_, ids)| ids);
--- a/crates/bulrushlatch_dispatch/src/entry/crashes.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/crashes.rs
@@ -9,7 +9,7 @@
     outcome::Answer,
 };
 
-use super::{Entry, crash_history::CrashBlame, placement::Candidate};
+use super::{Entry, crash_history::CrashBlame, job_state::JobState, placement::Candidate};
 
 impl Entry {
     /// Handles the crashes that an agent tells of; ends the jobs that must not be started again.
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Returns whether a job may have run, for this submission or, as crashes show, an earlier one.
+    pub(super) fn may_have_run(&self, job: &JobState) -> bool {
+        job.may_have_run() || self.crash_history.has_job(&job.request.id)
+    }
+
     /// Returns whether a job must not be started, as targets crash under it.
     pub(super) fn is_crashing_job(&self, job: &JobId) -> bool {
         self.crash_history.blame(job) == CrashBlame::Certain
--- a/crates/bulrushlatch_dispatch/src/entry/isolation.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/isolation.rs
@@ -224,7 +224,7 @@
             .filter(|(_, job)| self.is_route_isolated(&job.route) && !job.may_have_run());
         for id in jobs.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
             tracing::info!(job = %id, "its route is isolated from now on");
-            self.give_up_job_until(now, &id, ISOLATED_WAIT);
+            self.give_up_job_with_wait(now, &id, ISOLATED_WAIT);
         }
     }
 
--- a/crates/bulrushlatch_dispatch/src/entry/shortage.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/shortage.rs
@@ -248,7 +248,7 @@
     /// Refuses a job of which no task may have run, with a retry delay after `wait`.
     fn refuse_waiting_job(&mut self, now: BootTime, id: &JobId, wait: Duration) {
         let Some(job) = self.jobs.get(id) else { return };
-        if job.may_have_run() {
+        if self.may_have_run(job) {
             return;
         }
         let waited_ms = now.saturating_sub(job.arrived_at).as_millis() as u64;
--- a/crates/bulrushlatch_dispatch/src/entry/submission.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/submission.rs
@@ -271,7 +271,7 @@
     }
 
     /// Answers a caller with a refusal and a retry delay; only overload makes the delay depend on
-    /// `wait`.
+    /// `wait`. A job that was at a crash has run, so it is not refused but interrupted.
     pub(super) fn refuse(
         &mut self,
         now: BootTime,
@@ -280,6 +280,12 @@
         reason: Refusal,
         wait: Duration,
     ) {
+        if self.crash_history.has_job(job) {
+            self.counters.interrupted += 1;
+            tracing::info!(%job, %reason, "submitted again after a crash: interrupted");
+            self.answers.push((caller, Answer::Interrupted));
+            return;
+        }
         self.counters.refused += 1;
         let retry_after = match reason {
             Refusal::Overloaded => admission::retry_after(wait, self.rng.f64()),
--- a/crates/bulrushlatch_dispatch/tests/isolation.rs
+++ b/crates/bulrushlatch_dispatch/tests/isolation.rs
@@ -91,6 +91,29 @@
     assert!(take_starts(&mut fixture).is_empty());
 }
 
+/// Guards against a refusal that says "not run" of a job which ran when it was submitted before, as its
+/// entry on another VM can tell from the crash.
+#[test]
+fn a_job_that_was_at_a_crash_is_interrupted_and_not_refused() {
+    let mut fixture = fixture_of(2);
+    fixture.advance(ms(2_000));
+    let runs = ["job-0", "job-1"].map(|job| {
+        let task = bulrushlatch_dispatch::ids::TaskKey { job: job.into(), step: 0, index: 0 };
+        CrashedRun { task, ran_ms: 20 }
+    });
+    let notice = CrashNotice { crashes: vec![CrashRecord { number: 1, runs: runs.to_vec() }] };
+    let id = fixture.agents[0].id.clone();
+    fixture.entry.receive_crashes(fixture.now, &id, notice);
+    for agent in &mut fixture.agents {
+        agent.offer.accepts = false;
+    }
+    fixture.advance(ms(40));
+    let caller = fixture.submit(job("job-0", 1, 1_000, ms(60)), "quick");
+    assert_eq!(fixture.answer_to(caller), Some(Answer::Interrupted));
+    let caller = fixture.submit(job("job-2", 1, 1_000, ms(60)), "quick");
+    assert!(matches!(fixture.answer_to(caller), Some(Answer::Refused { .. })));
+}
+
 /// Guards against jobs of other routes being lost with targets that the jobs of one route crash.
 #[test]
 fn a_route_whose_job_crashes_targets_shares_none_with_others() {
