--- a/crates/bulrushlatch_dispatch/src/entry/isolation.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/isolation.rs
@@ -260,11 +260,7 @@
         route: &Route,
         steps: &[Step],
     ) -> bool {
-        let service = self.services.number(&route.service);
-        let mut views = self.agents.values().filter(|view| {
-            service.is_some() && view.service == service && view.is_available(now, &self.timing)
-        });
-        views.any(|view| {
+        self.targets_of_service(now, route).any(|view| {
             view.may_start_isolated(id) && steps.iter().all(|step| step.fits(&view.profile))
         })
     }
--- a/crates/bulrushlatch_dispatch/src/entry/supply.rs
+++ b/crates/bulrushlatch_dispatch/src/entry/supply.rs
@@ -31,13 +31,19 @@
         now: BootTime,
         route: &'a Route,
     ) -> impl Iterator<Item = &'a AgentView> {
-        let service = self.services.number(&route.service);
         let is_isolated = self.is_route_isolated(route);
+        self.targets_of_service(now, route).filter(move |agent| agent.is_isolated == is_isolated)
+    }
+
+    /// Returns the available targets of a route's service, for isolated jobs and others.
+    pub(super) fn targets_of_service<'a>(
+        &'a self,
+        now: BootTime,
+        route: &Route,
+    ) -> impl Iterator<Item = &'a AgentView> + use<'a> {
+        let service = self.services.number(&route.service);
         self.agents.values().filter(move |agent| {
-            service.is_some()
-                && agent.service == service
-                && agent.is_isolated == is_isolated
-                && agent.is_available(now, &self.timing)
+            service.is_some() && agent.service == service && agent.is_available(now, &self.timing)
         })
     }
 
