--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod cancel_at_cut_off_entry;
 mod cancelled_job;
 
 use crate::{http::Connection, record::Record, runner::RunEvents};
@@ -24,6 +25,7 @@
     record.note(&format!("case {case}, with the disruption: {has_trouble}"));
     let outcome = match case {
         "cancelled-job" => cancelled_job::run(&record, has_trouble),
+        "cancel-at-cut-off-entry" => cancel_at_cut_off_entry::run(&record, has_trouble),
         _ => Err("no such case".to_owned()),
     };
     let (status, text) = match outcome {
