--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -2,6 +2,7 @@
 
 mod cancel_at_cut_off_entry;
 mod cancelled_job;
+mod delegated_configuration;
 
 use crate::{http::Connection, record::Record, runner::RunEvents};
 
@@ -25,6 +26,7 @@
     record.note(&format!("case {case}, with the disruption: {has_trouble}"));
     let outcome = match case {
         "cancelled-job" => cancelled_job::run(&record, has_trouble),
+        "delegated-configuration" => delegated_configuration::run(&record, has_trouble),
         "cancel-at-cut-off-entry" => cancel_at_cut_off_entry::run(&record, has_trouble),
         _ => Err("no such case".to_owned()),
     };
