End runs whose job has ended before the job may come again

Cause: the agent counts the time by which a run must be over from the newest stamp that the run's entry has echoed. After the entry has ended the job that stamp goes on moving with each heartbeat, although only the end of the job counts for the caller, so the lease was never withheld.

Change: the order that ends a job fixes the time (Run::job_open_at) at that of the last frame before it, which an entry sends before it ends the job. A run that is stopped because it counts as stuck fixes nothing. Renewals move to agent/lease.rs, which logs when and why the lease is withheld. The fuzz gets a fault in which orders go unanswered while polls do not, and jobs that are given up while their tasks run.

Why it works: contact_limit + stop_grace after that time nothing renews the lease, so the run is over before resend_after, by the sum that timing.rs checks.

--- /dev/null
+++ b/crates/bulrushlatch_dispatch/src/agent/lease.rs
@@ -0,0 +1,60 @@
+//! Renewal of the target's lease.
+//!
+//! One lease holds for all runs at the target. It is withheld from all of them while it would keep one
+//! alive that must be over soon, since others may act on the belief that it is.
+
+use crate::clock::BootTime;
+
+use super::{Agent, run::Run, target::TargetTimeMs};
+
+/// Why the target's lease is not renewed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum WithholdingReason {
+    /// A run is to be over before its job may be submitted again, and its end is not confirmed.
+    OverdueRun,
+}
+
+impl Agent {
+    /// Stops the runs of silent entries, then returns the end of the lease to request: `None` while the
+    /// lease is withheld or there is no target.
+    pub fn prepare_renewal(&mut self, now: BootTime) -> Option<TargetTimeMs> {
+        self.stop_orphaned_runs(now);
+        let reason = self.withholding_reason(now);
+        self.log_withholding(reason);
+        if reason.is_some() {
+            self.counters.withheld_renewals += 1;
+            return None;
+        }
+        let longest = self.timing.max_lease_on_agent_clock();
+        let lease = self.timing.lease;
+        self.target.as_mut().map(|target| target.request_lease(now, lease, longest))
+    }
+
+    fn withholding_reason(&self, now: BootTime) -> Option<WithholdingReason> {
+        let has_overdue_run = self.runs.values().any(|run| self.is_overdue(now, run));
+        has_overdue_run.then_some(WithholdingReason::OverdueRun)
+    }
+
+    /// Returns whether the lease must not be renewed any more, so that the run is over before a caller
+    /// submits its job again.
+    fn is_overdue(&self, now: BootTime, run: &Run) -> bool {
+        let overdue_after = self.timing.contact_limit + self.timing.stop_grace;
+        let alive_at = run.job_open_at.unwrap_or_else(|| self.alive_at(&run.owner));
+        now.saturating_sub(alive_at) > overdue_after
+    }
+
+    /// Logs when the lease begins to be withheld, for which reason, and when it is renewed again.
+    fn log_withholding(&mut self, reason: Option<WithholdingReason>) {
+        if self.withholding == reason {
+            return;
+        }
+        self.withholding = reason;
+        let target = self.target_id();
+        let runs = self.runs.len();
+        match reason {
+            Some(reason) => tracing::info!(?target, %reason, runs, "lease withheld"),
+            None => tracing::info!(?target, runs, "lease renewed again"),
+        }
+    }
+}
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -6,6 +6,7 @@
 //! - `orders`: handles orders from entries
 //! - `frames`: frames to entries
 //! - [`demand`]: demand that entries state, and its sum
+//! - `lease`: renews the target's lease, unless it would keep a run alive that is to be over
 //! - `lifecycle`: starts and ends the runs at the target
 //! - `stops`: stops runs
 //! - [`run`]: one run of a task
@@ -20,6 +21,7 @@
 pub mod health;
 mod incarnation;
 mod isolation;
+mod lease;
 mod lifecycle;
 mod orders;
 pub mod run;
@@ -49,10 +51,11 @@
     crash_log::CrashLog,
     demand::DemandTable,
     health::{Health, HealthState},
+    lease::WithholdingReason,
     run::Run,
     session::Session,
     start_queue::StartQueue,
-    target::{Announcement, Target, TargetId, TargetTimeMs},
+    target::{Announcement, Target, TargetId},
 };
 
 /// An order that the agent's process is to send to the target.
@@ -103,7 +106,7 @@
     pub orphaned: u64,
     /// Runs listed by the target, but not tracked under that task and attempt.
     pub unknown_runs: u64,
-    /// Times that the lease was not renewed because an overdue stop was not confirmed.
+    /// Times that the lease was not renewed because of a run that it would have kept alive.
     pub withheld_renewals: u64,
     /// Valid statements of demand received from entries.
     pub demand_statements: u64,
@@ -141,6 +144,8 @@
     crash_log: CrashLog,
     /// Time until which the target runs one job at a time.
     isolated_until: BootTime,
+    /// Why the lease was not renewed when it was last due, if it was not.
+    withholding: Option<WithholdingReason>,
     /// Orders to the target that the process has not taken yet.
     target_orders: Vec<TargetOrder>,
 }
@@ -166,6 +171,7 @@
             demand_summaries: Vec::new(),
             crash_log: CrashLog::default(),
             isolated_until: BootTime::ZERO,
+            withholding: None,
             target_orders: Vec::new(),
         }
     }
@@ -318,6 +324,11 @@
         occupied
     }
 
+    /// Returns the newest stamp that an entry has echoed: it was alive after that time.
+    fn alive_at(&self, entry: &ProcessId) -> BootTime {
+        self.sessions.get(entry).map_or(BootTime::ZERO, |session| session.alive_at)
+    }
+
     /// Returns whether the tracked runs are within the target's capacity.
     fn runs_fit(&self) -> bool {
         let target = self.target.as_ref();
@@ -339,26 +350,6 @@
         let is_staying = !self.is_shutting_down && !target.announcement.is_leaving;
         is_answering && is_healthy && is_load_known && is_staying && !self.is_cordoned()
     }
-
-    /// Stops the runs of silent entries, then returns the end of the lease to request: `None` while
-    /// an overdue stop is not confirmed or there is no target.
-    pub fn prepare_renewal(&mut self, now: BootTime) -> Option<TargetTimeMs> {
-        self.stop_orphaned_runs(now);
-        let overdue_after = self.timing.contact_limit + self.timing.stop_grace;
-        let sessions = &self.sessions;
-        let is_overdue = self.runs.values().any(|run| {
-            let alive_at =
-                sessions.get(&run.owner).map_or(BootTime::ZERO, |session| session.alive_at);
-            now.saturating_sub(alive_at) > overdue_after
-        });
-        if is_overdue {
-            self.counters.withheld_renewals += 1;
-            return None;
-        }
-        let longest = self.timing.max_lease_on_agent_clock();
-        let lease = self.timing.lease;
-        self.target.as_mut().map(|target| target.request_lease(now, lease, longest))
-    }
 }
 
 /// Share of the contact limit without a frame after which a link is replaced. The rest is left to
--- a/crates/bulrushlatch_dispatch/src/agent/orders.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/orders.rs
@@ -20,6 +20,9 @@
             return;
         }
         session.received_at = now;
+        // An entry orders stops with the next frame that it sends, so a job that it has ended since was
+        // open when it sent the frame before this one.
+        let job_open_at = session.alive_at;
         // The entry echoes a stamp of this agent, so it was alive after the stamp had been sent.
         let stamp = BootTime::from_millis(frame.stamp_echo_ms).min(now);
         session.alive_at = session.alive_at.max(stamp);
@@ -34,8 +37,11 @@
             session.has_pending_update = true;
             match order.action {
                 Action::Start(start) => self.handle_start(now, entry, order.number, start),
-                Action::Stop { task, order, is_stuck } => {
-                    self.handle_stop(now, entry, &task, order, is_stuck);
+                Action::Stop { task, order, is_stuck: true } => {
+                    self.handle_stuck_run(now, entry, &task, order);
+                }
+                Action::Stop { task, order, is_stuck: false } => {
+                    self.handle_job_end(now, entry, &task, order, job_open_at);
                 }
             }
         }
@@ -75,6 +81,7 @@
             started_at: None,
             unanswered_starts: 0,
             over_by: None,
+            job_open_at: None,
             stop_requested_at: None,
             stop_sent_at: None,
             stop_answered_at: None,
@@ -92,8 +99,7 @@
         start: &StartOrder,
         free: &Size,
     ) -> Option<Obstacle> {
-        let alive_at = self.sessions.get(entry).map_or(BootTime::ZERO, |session| session.alive_at);
-        if now.saturating_sub(alive_at) > self.timing.contact_limit {
+        if now.saturating_sub(self.alive_at(entry)) > self.timing.contact_limit {
             Some(Obstacle::StaleOrder)
         } else if !self.accepts(now) {
             Some(Obstacle::Unavailable)
@@ -124,24 +130,47 @@
         }
     }
 
-    fn handle_stop(
+    /// Handles the order to stop a run that counts as stuck. The job stays open.
+    fn handle_stuck_run(
         &mut self,
         now: BootTime,
         entry: &ProcessId,
         task: &TaskKey,
         order: OrderNumber,
-        is_stuck: bool,
     ) {
-        if self.cancel_queued_start(entry, order) {
+        if self.cancel_queued_start(entry, order) || self.ordered_run(entry, task, order).is_none()
+        {
             return;
         }
-        let Some(run) = self.runs.get(task) else { return };
-        if run.order != order || run.owner != *entry {
+        self.record_failure(now, task);
+        self.request_stop(now, task);
+    }
+
+    /// Handles the order to stop a run whose job has ended; the job was open at `job_open_at`.
+    fn handle_job_end(
+        &mut self,
+        now: BootTime,
+        entry: &ProcessId,
+        task: &TaskKey,
+        order: OrderNumber,
+        job_open_at: BootTime,
+    ) {
+        if self.cancel_queued_start(entry, order) {
             return;
         }
-        if is_stuck {
-            self.record_failure(now, task);
-        }
+        let Some(run) = self.ordered_run(entry, task, order) else { return };
+        run.job_open_at.get_or_insert(job_open_at);
         self.request_stop(now, task);
     }
+
+    /// Returns the run of a task that the entry ordered with the start order of the given number.
+    fn ordered_run(
+        &mut self,
+        entry: &ProcessId,
+        task: &TaskKey,
+        order: OrderNumber,
+    ) -> Option<&mut Run> {
+        let run = self.runs.get_mut(task)?;
+        (run.order == order && run.owner == *entry).then_some(run)
+    }
 }
--- a/crates/bulrushlatch_dispatch/src/agent/run.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/run.rs
@@ -35,6 +35,10 @@
     pub unanswered_starts: u32,
     /// Time by which the run is over, if it began at a restarted target that is yet to list it.
     pub over_by: Option<BootTime>,
+    /// Time of the agent's clock after which the job was still open at its entry, known once the entry
+    /// has ended the job. From then on a caller may submit the job again, so the time by which the run
+    /// must be over no longer moves on while the entry lives.
+    pub job_open_at: Option<BootTime>,
     /// When a stop was first requested.
     pub stop_requested_at: Option<BootTime>,
     /// When the last stop order was sent to the target.
--- a/crates/bulrushlatch_dispatch/src/agent/stops.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/stops.rs
@@ -68,11 +68,8 @@
     /// Stops the runs of entries that have been silent for longer than the contact limit.
     pub(super) fn stop_orphaned_runs(&mut self, now: BootTime) {
         let limit = self.timing.contact_limit;
-        let sessions = &self.sessions;
         let orphaned = self.runs.values().filter(|run| {
-            let alive_at =
-                sessions.get(&run.owner).map_or(BootTime::ZERO, |session| session.alive_at);
-            !run.is_stopping() && now.saturating_sub(alive_at) > limit
+            !run.is_stopping() && now.saturating_sub(self.alive_at(&run.owner)) > limit
         });
         for task in orphaned.map(|run| run.task.clone()).collect::<Vec<_>>() {
             if let Some(run) = self.runs.get(&task) {
--- /dev/null
+++ b/crates/bulrushlatch_dispatch/tests/agent/lease.rs
@@ -0,0 +1,83 @@
+//! What the agent's renewals of the target's lease must not keep alive.
+
+use bulrushlatch_dispatch::{
+    agent::target::{StartReply, TargetStatus},
+    clock::BootTime,
+    frame::Action,
+    timing::SLACK,
+};
+
+use super::fixture::{AgentFixture, ms, running, task, timing};
+
+/// Interval between the frames of the entry, and between the polls of the target, in these tests.
+const STEP_MS: u64 = 50;
+
+/// Returns an agent at whose target the first task runs.
+fn fixture_with_a_run() -> AgentFixture {
+    let mut fixture = AgentFixture::new();
+    fixture.start(0, 1_000);
+    let starts = fixture.take_starts();
+    fixture.reply_to_start(&starts[0], &StartReply::Started);
+    fixture
+}
+
+fn stop_order(is_stuck: bool) -> Action {
+    Action::Stop { task: task(0), order: 1, is_stuck }
+}
+
+/// Lets the entry live on and the target list `status` at each poll for 2 s, while stops go unanswered;
+/// returns when the lease was last renewed.
+fn last_renewal(fixture: &mut AgentFixture, status: &TargetStatus) -> BootTime {
+    let end = fixture.now + ms(2_000);
+    let mut renewed_at = fixture.now;
+    while fixture.now < end {
+        if fixture.agent.prepare_renewal(fixture.now).is_some() {
+            renewed_at = fixture.now;
+        }
+        fixture.poll(status);
+        fixture.now += ms(STEP_MS);
+        fixture.send_orders(Vec::new());
+        fixture.agent.tick(fixture.now);
+    }
+    renewed_at
+}
+
+/// Guards against a run that goes on beside its repetition because its stop is not answered while its
+/// entry lives.
+#[test]
+fn a_run_of_an_ended_job_is_over_before_the_job_comes_again() {
+    let mut fixture = fixture_with_a_run();
+    fixture.now += ms(STEP_MS);
+    let ended_at = fixture.now;
+    fixture.send_orders(vec![stop_order(false)]);
+    let listed = TargetStatus { running: vec![running(0, 1)], ..TargetStatus::default() };
+    let over_at = last_renewal(&mut fixture, &listed) + timing().max_lease_on_agent_clock() + SLACK;
+    assert!(over_at <= ended_at + timing().resend_after, "{:?} after it", over_at - ended_at);
+}
+
+/// Guards against a stop that is lost with a link: the frame that repeats it has a newer stamp than the
+/// end of the job.
+#[test]
+fn the_time_of_a_run_is_counted_from_the_last_frame_before_its_stop() {
+    let mut fixture = fixture_with_a_run();
+    let ended_at = fixture.now;
+    fixture.now += ms(300);
+    fixture.send_orders(vec![stop_order(false)]);
+    let listed = TargetStatus { running: vec![running(0, 1)], ..TargetStatus::default() };
+    let over_at = last_renewal(&mut fixture, &listed) + timing().max_lease_on_agent_clock() + SLACK;
+    assert!(over_at <= ended_at + timing().resend_after, "{:?} after it", over_at - ended_at);
+}
+
+/// Guards against sound runs that end with the lease although nobody takes the stuck run for over.
+#[test]
+fn a_stuck_run_does_not_end_the_lease_while_its_job_is_open() {
+    let mut fixture = fixture_with_a_run();
+    fixture.send_orders(vec![stop_order(true)]);
+    let listed = TargetStatus { running: vec![running(0, 1)], ..TargetStatus::default() };
+    let renewed_at = last_renewal(&mut fixture, &listed);
+    assert!(fixture.now - renewed_at <= ms(2 * STEP_MS));
+    fixture.send_orders(vec![stop_order(false)]);
+    let ended_at = fixture.now;
+    let over_at = last_renewal(&mut fixture, &listed) + timing().max_lease_on_agent_clock() + SLACK;
+    assert!(over_at <= ended_at + timing().resend_after, "{:?} after it", over_at - ended_at);
+}
--- a/crates/bulrushlatch_dispatch/tests/agent/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/main.rs
@@ -6,6 +6,7 @@
 mod demand;
 mod fixture;
 mod heartbeats;
+mod lease;
 mod restarted_target;
 mod start_queue;
 
--- a/crates/bulrushlatch_dispatch/tests/one_run/fault.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/fault.rs
@@ -56,6 +56,9 @@
     ShrinkTarget,
     /// Stops of runs of delegated jobs at a target get lost for a while; other calls do not.
     LostStops,
+    /// No start and no stop order to a target gets an answer for a while; they are carried out 2 to 4 s
+    /// later. Status polls are answered.
+    UnansweredOrders,
     /// Two entries cannot reach each other for a while; frames arrive afterwards.
     CutPeers,
     /// All further frames on an open link between two entries are lost; new links work.
@@ -93,6 +96,20 @@
     Fault::ResetPeers,
 ];
 
+/// The faults that may come beside [`Fault::UnansweredOrders`]: those through which an entry or an agent
+/// loses track of runs.
+const FAULTS_BESIDE_UNANSWERED: [Fault; 7] = [
+    Fault::KillAgent,
+    Fault::KillAgent,
+    Fault::FreezeAgent,
+    Fault::KillEntry,
+    Fault::FreezeEntry,
+    Fault::ResetLink,
+    Fault::LateOrders,
+];
+/// Longest time between the begin of unanswered orders at a target and that of a fault of its agent.
+const FAULT_BESIDE_DELAY_MS: u64 = 800;
+
 /// A fault with the time and place of its injection.
 #[derive(Clone, Copy, Debug)]
 pub struct InjectedFault {
@@ -146,6 +163,35 @@
         plan
     }
 
+    /// Returns a plan of one or two targets that leave orders unanswered for up to 2.5 s, each beside up to
+    /// three other faults soon after it.
+    pub fn draw_unanswered(rng: &mut fastrand::Rng) -> Self {
+        let mut plan = Self::default();
+        for _ in 0..rng.usize(1..=2) {
+            let count = rng.usize(..=3);
+            let kinds = FAULTS_BESIDE_UNANSWERED;
+            let beside: Vec<Fault> = (0..count).map(|_| kinds[rng.usize(..kinds.len())]).collect();
+            plan.faults.extend(Self::unanswered_beside(rng, &beside).faults);
+        }
+        plan
+    }
+
+    /// Returns a plan in which a target leaves orders unanswered for up to 2.5 s, and the given faults
+    /// follow soon after, those of agents at the agent of that target.
+    pub fn unanswered_beside(rng: &mut fastrand::Rng, beside: &[Fault]) -> Self {
+        let faults: Vec<Fault> =
+            [Fault::UnansweredOrders].into_iter().chain(beside.iter().copied()).collect();
+        let mut plan = Self::of(rng, &faults);
+        if let [unanswered, others @ ..] = &mut plan.faults[..] {
+            unanswered.duration_ms = rng.u64(LONGEST_FAULT_MS / 2..=LONGEST_FAULT_MS);
+            for other in others {
+                other.at_ms = unanswered.at_ms + rng.u64(..FAULT_BESIDE_DELAY_MS);
+                other.agent = unanswered.agent;
+            }
+        }
+        plan
+    }
+
     /// Adds the loss of stops at all targets from the first fault on.
     pub fn with_lost_stops(mut self) -> Self {
         let at_ms = self.faults.iter().map(|fault| fault.at_ms).min().unwrap_or(0);
--- a/crates/bulrushlatch_dispatch/tests/one_run/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/main.rs
@@ -7,6 +7,7 @@
 mod fault;
 mod oracle;
 mod target;
+mod unanswered;
 mod world;
 
 use arbtest::arbtest;
@@ -67,11 +68,18 @@
 #[test]
 #[ignore = "for tracing one case by hand"]
 fn replay() {
+    replay_case(|seed| {
+        println!("{:#?}", Plan::draw(&mut fastrand::Rng::with_seed(seed)));
+        run_case(seed, None)
+    });
+}
+
+/// Runs the case of the seed in ONE_RUN_CASE and prints its log.
+fn replay_case(run_case: impl Fn(u64) -> Result<world::Summary, String>) {
     let case = std::env::var("ONE_RUN_CASE").ok().and_then(|text| text.parse().ok());
     let seed = case.expect("ONE_RUN_CASE is a seed");
-    println!("{:#?}", Plan::draw(&mut fastrand::Rng::with_seed(seed)));
     let subscriber = tracing_subscriber::fmt().with_ansi(false).without_time().finish();
-    let result = tracing::subscriber::with_default(subscriber, || run_case(seed, None));
+    let result = tracing::subscriber::with_default(subscriber, || run_case(seed));
     assert_eq!(result.map(drop), Ok(()));
 }
 
@@ -184,11 +192,7 @@
 #[test]
 #[ignore = "for tracing one case by hand"]
 fn replay_crashing_tasks() {
-    let case = std::env::var("ONE_RUN_CASE").ok().and_then(|text| text.parse().ok());
-    let seed = case.expect("ONE_RUN_CASE is a seed");
-    let subscriber = tracing_subscriber::fmt().with_ansi(false).without_time().finish();
-    let result = tracing::subscriber::with_default(subscriber, || crashing_case(seed, World::new));
-    assert_eq!(result.map(drop), Ok(()));
+    replay_case(|seed| crashing_case(seed, World::new));
 }
 
 /// Cases in at least one of which the oracle must detect a defect.
@@ -310,12 +314,10 @@
 #[test]
 #[ignore = "for tracing one case by hand"]
 fn replay_delegating() {
-    let case = std::env::var("ONE_RUN_CASE").ok().and_then(|text| text.parse().ok());
-    let seed = case.expect("ONE_RUN_CASE is a seed");
-    println!("{:#?}", Plan::draw_delegating(&mut fastrand::Rng::with_seed(seed)));
-    let subscriber = tracing_subscriber::fmt().with_ansi(false).without_time().finish();
-    let result = tracing::subscriber::with_default(subscriber, || delegating_case(seed, None));
-    assert_eq!(result.map(drop), Ok(()));
+    replay_case(|seed| {
+        println!("{:#?}", Plan::draw_delegating(&mut fastrand::Rng::with_seed(seed)));
+        delegating_case(seed, None)
+    });
 }
 
 /// Returns whether the oracle detects the defect in at least one case in which an entry fails while
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/calls.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/calls.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Time after which an order that got no answer is carried out.
+const LATE_ORDER_DELAY_MS: std::ops::Range<u64> = 2_000..4_000;
+
 impl World {
     /// Sends an order of an agent to its target.
     pub(super) fn send_order(&mut self, agent: usize, incarnation: u64, order: TargetOrder) {
@@ -28,13 +31,24 @@
         {
             return;
         }
+        let is_order = !matches!(call, Call::Poll { .. });
+        let is_unanswered =
+            is_order && self.unanswered_targets.get(&agent).is_some_and(|&end| self.now_ms < end);
+        if is_unanswered {
+            let event =
+                Event::AtTarget { agent, incarnation, call: call.clone(), is_answered: false };
+            let delay_ms = self.rng.u64(LATE_ORDER_DELAY_MS);
+            self.after(delay_ms, event);
+            self.time_out(agent, incarnation, call);
+            return;
+        }
         let is_silent = self.silent_targets.get(&agent).is_some_and(|&end| self.now_ms < end);
         let is_late_target = self.late_targets.get(&agent).is_some_and(|&end| self.now_ms < end);
         let is_late = is_late_target && self.rng.f64() < LATE_SHARE;
         if is_silent || is_late {
             if is_late {
                 let is_prompt = self.rng.bool();
-                let delay_ms = self.rng.u64(if is_prompt { 1..50 } else { 2_000..4_000 });
+                let delay_ms = self.rng.u64(if is_prompt { 1..50 } else { LATE_ORDER_DELAY_MS });
                 let call = call.clone();
                 self.after(
                     delay_ms,
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/faults.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/faults.rs
@@ -52,6 +52,9 @@
             Fault::SilentTarget => {
                 self.silent_targets.insert(agent, end_ms);
             }
+            Fault::UnansweredOrders => {
+                self.unanswered_targets.insert(agent, end_ms);
+            }
             Fault::LostStops => {
                 self.lost_stops.insert(agent, end_ms);
             }
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/jobs.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/jobs.rs
@@ -2,7 +2,26 @@
 
 use super::*;
 
+/// Run time of a task that takes longer than its caller waits: such a run, once it is not stopped, is
+/// still there when the caller submits the job again.
+const OVERLONG_RUN_MS: u64 = 3_500;
+/// Estimate of such a task, with which its job is accepted.
+const OVERLONG_ESTIMATE_MS: u64 = 200;
+/// Time for which the caller of such a job waits for each answer.
+const OVERLONG_WAIT_MS: u64 = 600;
+
 impl World {
+    /// Lets the tasks of every `interval`th job take longer than its callers wait.
+    pub fn with_overlong_jobs(mut self, interval: usize) -> Self {
+        self.overlong_job_interval = interval;
+        self
+    }
+
+    fn is_overlong_job(&self, number: usize) -> bool {
+        let interval = self.overlong_job_interval;
+        interval > 0 && number.is_multiple_of(interval)
+    }
+
     /// Submits a new job and schedules the next one.
     pub(super) fn new_job(&mut self) {
         if self.now_ms < BOOT_MS + LENGTH.as_millis() as u64 - NO_NEW_JOBS_MS {
@@ -21,6 +40,7 @@
             is_over: false,
             is_completed: false,
             crashes_targets: self.is_crashing_job(number),
+            is_overlong: self.is_overlong_job(number),
             open_submission: None,
         };
         self.jobs.push(job);
@@ -68,19 +88,26 @@
     }
 
     pub(super) fn remaining_time(&self, number: usize) -> Duration {
-        let deadline_ms = self.jobs[number].submitted_ms + CALLER_DEADLINE_MS;
-        Duration::from_millis(deadline_ms.saturating_sub(self.now_ms))
+        let job = &self.jobs[number];
+        let remaining_ms = (job.submitted_ms + CALLER_DEADLINE_MS).saturating_sub(self.now_ms);
+        let wait_ms = if job.is_overlong { OVERLONG_WAIT_MS } else { CALLER_DEADLINE_MS };
+        Duration::from_millis(remaining_ms.min(wait_ms))
     }
 
     pub(super) fn request(&self, number: usize) -> JobRequest {
-        let run_ms = 30 + (number as u64 * 137) % 1_700;
+        let usual_run_ms = 30 + (number as u64 * 137) % 1_700;
+        let (run_ms, estimate_ms) = if self.jobs[number].is_overlong {
+            (OVERLONG_RUN_MS, OVERLONG_ESTIMATE_MS)
+        } else {
+            (usual_run_ms, usual_run_ms)
+        };
         JobRequest {
             id: self.jobs[number].id.clone(),
             payload: Arc::from(run_ms.to_string()),
             steps: vec![Step {
                 tasks: self.jobs[number].tasks,
                 size: Size { cpu_millis: TASK_CPU_MILLIS, memory_mb: 1, accelerators: 0 },
-                estimate: Duration::from_millis(run_ms),
+                estimate: Duration::from_millis(estimate_ms),
                 depends_on: Vec::new(),
                 required_label: None,
                 preferred_label: None,
@@ -153,7 +180,7 @@
         let recovered_ms = BOOT_MS + RECOVERED_MS;
         let late_jobs = self.jobs.iter().filter(|job| job.submitted_ms >= recovered_ms);
         let incomplete: Vec<&JobId> = late_jobs
-            .filter(|job| !job.is_completed && !job.crashes_targets)
+            .filter(|job| !job.is_completed && !job.crashes_targets && !job.is_overlong)
             .map(|job| &job.id)
             .collect();
         if incomplete.is_empty() {
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/mod.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/mod.rs
@@ -160,6 +160,8 @@
     is_completed: bool,
     /// Whether its first task crashes each target that starts it.
     crashes_targets: bool,
+    /// Whether its tasks take longer than its callers wait.
+    is_overlong: bool,
     /// The entry, its incarnation and the caller of the present submission, if one is open.
     open_submission: Option<(usize, u64, CallerId)>,
 }
@@ -190,10 +192,14 @@
     late_targets: BTreeMap<usize, u64>,
     /// End of [`Fault::LostStops`] at each target.
     lost_stops: BTreeMap<usize, u64>,
+    /// End of [`Fault::UnansweredOrders`] at each target.
+    unanswered_targets: BTreeMap<usize, u64>,
     /// End of the absence of each crashed target.
     absent_targets: BTreeMap<usize, u64>,
     /// Every how many jobs one crashes targets; 0 for none.
     crashing_job_interval: usize,
+    /// Every how many jobs one takes longer than its callers wait; 0 for none.
+    overlong_job_interval: usize,
     jobs: Vec<Job>,
     callers: BTreeMap<CallerId, usize>,
     last_caller: CallerId,
@@ -237,8 +243,10 @@
             silent_targets: BTreeMap::new(),
             late_targets: BTreeMap::new(),
             lost_stops: BTreeMap::new(),
+            unanswered_targets: BTreeMap::new(),
             absent_targets: BTreeMap::new(),
             crashing_job_interval: 0,
+            overlong_job_interval: 0,
             jobs: Vec::new(),
             callers: BTreeMap::new(),
             last_caller: 0,
