Let the leases of a killed agent end before the next one renews any

An agent was killed and started again while its target left stops unanswered; 1.28 s later its entry had the tasks started elsewhere, and the first runs went on.

Cause: an entry takes the runs at a silent agent for over one lease after the last moment at which the agent may have renewed it. The next process beside the target renewed the lease with its first poll, before it knew what runs there, and with each further one, although it knew none of the runs.

Change: an agent renews and starts nothing before the leases of an earlier process have ended, and renews nothing while the target lists a run that it does not track. The answer to a poll that was sent before such a run was last listed does not clear it.

--- a/crates/bulrushlatch_dispatch/src/agent/lease.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/lease.rs
@@ -1,7 +1,8 @@
 //! Renewal of the target's lease.
 //!
 //! One lease holds for all runs at the target. It is withheld from all of them while it would keep one
-//! alive that must be over soon, since others may act on the belief that it is.
+//! alive that must be over soon, or of which this process does not know whether it must be: others may
+//! act on the belief that it is over.
 
 use crate::clock::BootTime;
 
@@ -11,6 +12,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub(super) enum WithholdingReason {
+    /// A start that an earlier process ordered may still be carried out, and an entry that heard last of
+    /// that process may take its runs for over.
+    EarlierProcess,
+    /// The target lists a run that is not tracked: what others believe of it is not known here.
+    UnknownRun,
     /// A run is to be over before its job may be submitted again, and its end is not confirmed.
     OverdueRun,
 }
@@ -32,8 +38,21 @@
     }
 
     fn withholding_reason(&self, now: BootTime) -> Option<WithholdingReason> {
-        let has_overdue_run = self.runs.values().any(|run| self.is_overdue(now, run));
-        has_overdue_run.then_some(WithholdingReason::OverdueRun)
+        if !self.have_earlier_leases_ended(now) {
+            Some(WithholdingReason::EarlierProcess)
+        } else if self.target.as_ref().is_some_and(|target| !target.unknown_runs.is_empty()) {
+            Some(WithholdingReason::UnknownRun)
+        } else if self.runs.values().any(|run| self.is_overdue(now, run)) {
+            Some(WithholdingReason::OverdueRun)
+        } else {
+            None
+        }
+    }
+
+    /// Returns whether each lease that an earlier process requested has ended. The target refuses any
+    /// start that this process's predecessor ordered from then on.
+    pub(super) fn have_earlier_leases_ended(&self, now: BootTime) -> bool {
+        now > self.started_at + self.timing.max_lease_on_agent_clock()
     }
 
     /// Returns whether the lease must not be renewed any more, so that the run is over before a caller
--- a/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
@@ -261,8 +261,10 @@
             self.finish(now, &task, outcome);
         }
         if let Some(target) = &mut self.target {
-            target.unknown_runs.retain(|(name, attempt), _| {
-                status.running.iter().any(|run| run.name == *name && run.attempt == *attempt)
+            target.unknown_runs.retain(|(name, attempt), unknown| {
+                let mut running = status.running.iter();
+                let is_listed = running.any(|run| run.name == *name && run.attempt == *attempt);
+                is_listed || polled_at < unknown.listed_at
             });
         }
     }
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -120,6 +120,8 @@
 #[derive(Debug)]
 pub struct Agent {
     timing: Timing,
+    /// When this process started; the earlier one beside the same target had ended by then.
+    started_at: BootTime,
     target: Option<Target>,
     /// Another incarnation that has announced itself while the present one may still exist.
     successor: Option<Announcement>,
@@ -151,10 +153,12 @@
 }
 
 impl Agent {
-    /// Returns an agent that has received no announcement of a target.
-    pub fn new(timing: Timing) -> Self {
+    /// Returns an agent whose process started at `started_at` and that has received no announcement of a
+    /// target.
+    pub fn new(timing: Timing, started_at: BootTime) -> Self {
         Self {
             timing,
+            started_at,
             target: None,
             successor: None,
             past_targets: BTreeSet::new(),
@@ -348,7 +352,12 @@
         // Unknown runs occupy capacity, but their sizes are not known.
         let is_load_known = target.unknown_runs.is_empty();
         let is_staying = !self.is_shutting_down && !target.announcement.is_leaving;
-        is_answering && is_healthy && is_load_known && is_staying && !self.is_cordoned()
+        is_answering
+            && is_healthy
+            && is_load_known
+            && is_staying
+            && !self.is_cordoned()
+            && self.have_earlier_leases_ended(now)
     }
 }
 
--- a/crates/bulrushlatch_dispatch/src/agent/stops.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/stops.rs
@@ -4,7 +4,10 @@
 
 use crate::{clock::BootTime, ids::TaskKey};
 
-use super::{Agent, StopOrder, TargetOrder, target::RunningRun};
+use super::{
+    Agent, StopOrder, TargetOrder,
+    target::{RunningRun, UnknownRun},
+};
 
 /// Interval at which a stop order is sent again while its run has not ended.
 const STOP_RESEND_INTERVAL: Duration = Duration::from_millis(40);
@@ -17,15 +20,16 @@
         }
         let Some(target) = &mut self.target else { return };
         let key = (running.name.clone(), running.attempt);
-        let last = target.unknown_runs.get(&key).copied();
-        if last.is_some_and(|at| now.saturating_sub(at) < STOP_RESEND_INTERVAL) {
-            return;
-        }
-        if last.is_none() {
+        if let Some(unknown) = target.unknown_runs.get_mut(&key) {
+            unknown.listed_at = now;
+            if now.saturating_sub(unknown.stop_sent_at) < STOP_RESEND_INTERVAL {
+                return;
+            }
+        } else {
             self.counters.unknown_runs += 1;
             tracing::info!(task = %running.name, attempt = running.attempt, "unknown run: stopping it");
         }
-        target.unknown_runs.insert(key, now);
+        target.unknown_runs.insert(key, UnknownRun { stop_sent_at: now, listed_at: now });
         self.target_orders.push(TargetOrder::Stop(StopOrder {
             target: target.announcement.id.clone(),
             task: None,
--- a/crates/bulrushlatch_dispatch/src/agent/target.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/target.rs
@@ -127,6 +127,16 @@
     NoAnswer,
 }
 
+/// A run that the target lists, but that is not tracked under its task and attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct UnknownRun {
+    /// When the last stop order was sent.
+    pub stop_sent_at: BootTime,
+    /// When a status that lists the run was last received. Only a poll sent after that can show that the
+    /// run is over: the answer to an earlier one may have been overtaken.
+    pub listed_at: BootTime,
+}
+
 /// The present incarnation of the target.
 #[derive(Debug)]
 pub struct Target {
@@ -144,9 +154,9 @@
     pub unanswered_at: Option<BootTime>,
     /// Highest number of an ended run that was processed.
     pub ends_seen: u64,
-    /// Runs listed by the target, but not tracked under that task and attempt, with the time of the
-    /// last stop order for each.
-    pub unknown_runs: BTreeMap<(String, Attempt), BootTime>,
+    /// Runs listed by the target, but not tracked under that task and attempt, by the task's name at the
+    /// target.
+    pub unknown_runs: BTreeMap<(String, Attempt), UnknownRun>,
     /// Runs that have ended because the target was silent, until it answers a status poll.
     pub silent_runs: Vec<CrashedRun>,
     /// Time until which the target counts as full, after it refused a start for lack of capacity.
--- a/crates/bulrushlatch_dispatch/src/timing.rs
+++ b/crates/bulrushlatch_dispatch/src/timing.rs
@@ -10,7 +10,10 @@
 //! Once the newest stamp that an entry has echoed is older than `contact_limit`, an agent stops the
 //! entry's runs. If a stop is not confirmed within `stop_grace`, the agent no longer renews the
 //! target's lease, and the remaining runs end within one lease. They do so even if the agent itself
-//! has crashed.
+//! has crashed, since the next agent does not renew it either.
+//!
+//! A job that its entry has ended may be submitted again although the entry lives. The same sum then
+//! counts from the last stamp echoed before the end of the job.
 
 use std::time::Duration;
 
--- a/crates/bulrushlatch_dispatch/tests/agent/fixture.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/fixture.rs
@@ -17,6 +17,8 @@
 
 /// Time at which tests begin: not zero, as on a real VM.
 pub const BOOT: BootTime = Duration::from_secs(100);
+/// When the agent's process started: its predecessor's leases have ended before the tests begin.
+const STARTED_AT: BootTime = Duration::from_secs(90);
 /// Shortest time between two frames without a report.
 pub const MIN_FRAME_INTERVAL: Duration = Duration::from_millis(8);
 
@@ -60,7 +62,12 @@
 
 impl AgentFixture {
     pub fn new() -> Self {
-        let mut agent = Agent::new(timing());
+        Self::with_process_started_at(STARTED_AT)
+    }
+
+    /// Returns a fixture whose agent's process started at `started_at`.
+    pub fn with_process_started_at(started_at: BootTime) -> Self {
+        let mut agent = Agent::new(timing(), started_at);
         agent.handle_announcement(announcement("target", 1));
         agent.link_up(BOOT, entry(), 1, NEWEST_FRAME_VERSION);
         let mut fixture =
--- a/crates/bulrushlatch_dispatch/tests/agent/lease.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/lease.rs
@@ -7,7 +7,7 @@
     timing::SLACK,
 };
 
-use super::fixture::{AgentFixture, ms, running, task, timing};
+use super::fixture::{AgentFixture, BOOT, ms, running, task, timing};
 
 /// Interval between the frames of the entry, and between the polls of the target, in these tests.
 const STEP_MS: u64 = 50;
@@ -81,3 +81,42 @@
     let over_at = last_renewal(&mut fixture, &listed) + timing().max_lease_on_agent_clock() + SLACK;
     assert!(over_at <= ended_at + timing().resend_after, "{:?} after it", over_at - ended_at);
 }
+
+/// Guards against a run of a killed agent that goes on beside its repetition because the next agent, which
+/// does not know it, renews its lease.
+#[test]
+fn an_unknown_run_ends_with_the_lease() {
+    let mut fixture = AgentFixture::new();
+    fixture.poll(&TargetStatus { running: vec![running(0, 1)], ..TargetStatus::default() });
+    assert_eq!(fixture.agent.prepare_renewal(fixture.now), None);
+    fixture.poll(&TargetStatus::default());
+    assert!(fixture.agent.prepare_renewal(fixture.now).is_some());
+}
+
+/// Guards against the renewal of an unknown run's lease after the answer to an earlier poll came last.
+#[test]
+fn an_overtaken_answer_does_not_hide_an_unknown_run() {
+    let mut fixture = AgentFixture::new();
+    let overtaken_poll_at = fixture.now;
+    fixture.poll(&TargetStatus { running: vec![running(0, 1)], ..TargetStatus::default() });
+    let (target, empty) = ("target".to_owned(), TargetStatus::default());
+    fixture.agent.handle_status(fixture.now, overtaken_poll_at, &target, &empty);
+    assert_eq!(fixture.agent.prepare_renewal(fixture.now), None);
+}
+
+/// Guards against a start of a killed agent that is carried out late, at a target whose lease the next agent
+/// has renewed meanwhile.
+#[test]
+fn nothing_is_renewed_while_an_earlier_process_may_have_given_a_lease() {
+    let mut fixture = AgentFixture::with_process_started_at(BOOT);
+    let earlier_leases_end = BOOT + timing().max_lease_on_agent_clock();
+    while fixture.now <= earlier_leases_end {
+        assert_eq!(fixture.agent.prepare_renewal(fixture.now), None);
+        fixture.start(0, 1_000);
+        assert_eq!(fixture.take_starts(), []);
+        fixture.poll(&TargetStatus::default());
+        fixture.now += ms(STEP_MS);
+    }
+    fixture.start(1, 1_000);
+    assert_eq!(fixture.take_starts().len(), 1);
+}
--- a/crates/bulrushlatch_dispatch/tests/one_run/unanswered.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/unanswered.rs
@@ -1,7 +1,7 @@
 //! Cases in which targets leave orders unanswered for seconds.
 
 use super::{
-    fault::Plan,
+    fault::{Fault, Plan},
     replay_case, run_random_cases,
     world::{Defect, Summary, World},
 };
@@ -37,6 +37,17 @@
     }
 }
 
+/// Guards against a run of a killed agent that goes on beside its repetition because the next agent renews
+/// its lease while its stop is not answered.
+#[test]
+fn runs_of_a_killed_agent_end_with_its_leases() {
+    for seed in UNANSWERED_SEEDS {
+        let plan = |rng: &mut fastrand::Rng| Plan::unanswered_beside(rng, &[Fault::KillAgent]);
+        let result = run_case(seed, plan, World::new);
+        assert_eq!(result.map(drop), Ok(()), "seed {seed}");
+    }
+}
+
 /// Runs random seeds with unanswered orders beside other faults for ONE_RUN_SECONDS and prints each
 /// failure; every second one with delegation.
 #[test]
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/processes.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/processes.rs
@@ -56,7 +56,7 @@
 
     pub(super) fn start_agent(&mut self, number: usize) {
         let incarnation = self.rng.u64(1..);
-        let mut core = Agent::new(self.agent_timing());
+        let mut core = Agent::new(self.agent_timing(), self.clock());
         core.set_max_start_wait(MAX_START_WAIT);
         let process = &mut self.agents[number];
         process.id.incarnation = incarnation;
--- a/crates/bulrushlatch_node/src/agent/mod.rs
+++ b/crates/bulrushlatch_node/src/agent/mod.rs
@@ -95,12 +95,13 @@
             .await
             .change_context(StartError::BindHttpAddress(settings.announcement_listen))?;
         let common = &settings.common;
-        let mut core = Agent::new(common.timing);
+        let clock = SystemBootClock;
+        let mut core = Agent::new(common.timing, clock.now());
         core.set_max_start_wait(settings.max_start_wait);
         core.set_demand_exchange(common.demand_exchange);
         let process = Rc::new(Self {
             id: ProcessId { name: common.name.clone(), incarnation: fastrand::u64(1..) },
-            clock: SystemBootClock,
+            clock,
             target,
             announcement_interface,
             store,
@@ -292,7 +293,7 @@
                     "Runs at the target ordered by nobody here",
                     counters.unknown_runs,
                 ),
-                ("withheld_renewals", "Looks without renewal", counters.withheld_renewals),
+                ("withheld_renewals", "Times the lease was withheld", counters.withheld_renewals),
                 ("demand_statements", "Statements of demand taken", counters.demand_statements),
                 ("demand_summaries", "Summaries of demand sent", counters.demand_summaries),
                 ("invalid_demand", "Invalid statements of demand dropped", counters.invalid_demand),
