Check echoes per incarnation of an agent in the fuzz

The check of delegated jobs says that an agent may not be told of a delegate's life after the origin's death while a run of the origin is there. It took what a delegate tells the next process of a killed agent for what keeps the run of the earlier one alive.

The check now compares what the agent that tracks the run was told, which is as strict for the runs that an echo keeps alive; a run that goes on beside another is found by the oracle as before.

--- a/crates/bulrushlatch_dispatch/tests/one_run/world/peers.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/peers.rs
@@ -38,16 +38,25 @@
 /// Checks that agents are not told that an origin lives which does not.
 #[derive(Debug, Default)]
 pub(super) struct EchoCheck {
-    /// The entry, with its incarnation, whose start order for a task an agent got last.
-    starters: BTreeMap<(usize, TaskKey), (usize, u64)>,
+    /// The last start order for a task that each agent got.
+    starters: BTreeMap<(usize, TaskKey), Starter>,
     /// The entry, with its incarnation, that has delegated a job.
     origins: BTreeMap<JobId, (usize, u64)>,
-    /// Newest stamp that each incarnation of an entry has echoed to each agent.
-    echoes: BTreeMap<(u64, usize), u64>,
+    /// Newest stamp that each incarnation of an entry has echoed to each incarnation of an agent.
+    echoes: BTreeMap<(u64, u64), u64>,
     /// When each incarnation of an entry died or was last suspended.
     last_life_ms: BTreeMap<u64, u64>,
 }
 
+/// Who ordered a start, and whom: an agent that has been restarted does not track the run, so that what
+/// it is told does not keep the run alive.
+#[derive(Debug)]
+struct Starter {
+    entry: usize,
+    entry_incarnation: u64,
+    agent_incarnation: u64,
+}
+
 impl World {
     /// Ticks an entry, whose load depends on the time.
     pub(super) fn tick_entry(&mut self, entry: usize, incarnation: u64) {
@@ -294,11 +303,16 @@
             frame.stamp_echo_ms = open.stamp_ms;
         }
         let check = &mut self.echo_check;
-        let echo = check.echoes.entry((entry.incarnation, open.agent)).or_default();
+        let agent_incarnation = self.agents[open.agent].id.incarnation;
+        let echo = check.echoes.entry((entry.incarnation, agent_incarnation)).or_default();
         *echo = (*echo).max(frame.stamp_echo_ms);
         for order in &frame.orders {
             if let Action::Start(start) = &order.action {
-                let starter = (open.entry, entry.incarnation);
+                let starter = Starter {
+                    entry: open.entry,
+                    entry_incarnation: entry.incarnation,
+                    agent_incarnation,
+                };
                 check.starters.insert((open.agent, start.task.clone()), starter);
             }
         }
@@ -321,20 +335,18 @@
         }
         for (task, agent) in self.oracle.running() {
             let check = &self.echo_check;
-            let Some(&(starter, starter_incarnation)) = check.starters.get(&(agent, task.clone()))
-            else {
-                continue;
-            };
+            let Some(starter) = check.starters.get(&(agent, task.clone())) else { continue };
             let Some(&(origin, incarnation)) = check.origins.get(&task.job) else { continue };
             let process = &self.entries[origin];
             let is_alive = process.id.incarnation == incarnation
                 && process.core.is_some()
                 && self.now_ms >= process.suspended_until_ms;
-            if is_alive || origin == starter {
+            if is_alive || origin == starter.entry {
                 continue;
             }
             let last_life_ms = check.last_life_ms.get(&incarnation).copied().unwrap_or(u64::MAX);
-            let echo_ms = check.echoes.get(&(starter_incarnation, agent)).copied().unwrap_or(0);
+            let link = (starter.entry_incarnation, starter.agent_incarnation);
+            let echo_ms = check.echoes.get(&link).copied().unwrap_or(0);
             if echo_ms > last_life_ms {
                 let violation = format!(
                     "{} ms: {task} runs at {agent} with an echo of {echo_ms}, its origin lived until {last_life_ms}",
