Count the first answer to a stop

Cause: each answer to a repeated stop (every 40 ms) moved the time after which a poll has to be sent past the poll in progress, which is held for 100 ms. The run was never settled and the renewal of the lease withheld for good.

Change: the first answer counts. It shows that the target has carried out a stop of that attempt, after which it refuses the start, so any poll sent later settles the run.

Measured: the test fails without the change and passes with it.

--- a/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
@@ -177,7 +177,7 @@
         }
         let run = stop.task.as_ref().and_then(|task| self.runs.get_mut(task));
         let Some(run) = run.filter(|run| run.attempt == stop.attempt) else { return false };
-        run.stop_answered_at = Some(now);
+        run.stop_answered_at.get_or_insert(now);
         true
     }
 
--- a/crates/bulrushlatch_dispatch/src/agent/run.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/run.rs
@@ -43,7 +43,8 @@
     pub stop_requested_at: Option<BootTime>,
     /// When the last stop order was sent to the target.
     pub stop_sent_at: Option<BootTime>,
-    /// When the target answered a stop order.
+    /// When the target first answered a stop order: each later poll that does not list the run counts, also
+    /// if stops are repeated meanwhile.
     pub stop_answered_at: Option<BootTime>,
 }
 
--- a/crates/bulrushlatch_dispatch/tests/agent/main.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/main.rs
@@ -115,6 +115,26 @@
     assert_eq!(fixture.reported_outcomes(), [RunOutcome::Stopped]);
 }
 
+/// Guards against a run that is never settled, and so ends the target's lease, because the answers to
+/// repeated stops are all newer than the polls in progress.
+#[test]
+fn a_repeated_stop_does_not_delay_the_end_of_its_run() {
+    let mut fixture = AgentFixture::new();
+    fixture.start(0, 1_000);
+    fixture.leave_starts_unanswered();
+    let stops = fixture.take_stops();
+    fixture.agent.handle_stop_reply(fixture.now, &stops[0], 5_000);
+    fixture.now += ms(1);
+    let polled_at = fixture.now;
+    fixture.now += ms(50);
+    fixture.agent.tick(fixture.now);
+    let stops = fixture.take_stops();
+    fixture.agent.handle_stop_reply(fixture.now, &stops[0], 5_000);
+    let (target, empty) = ("target".to_owned(), TargetStatus::default());
+    fixture.agent.handle_status(fixture.now, polled_at, &target, &empty);
+    assert_eq!(fixture.reported_outcomes(), [RunOutcome::Stopped]);
+}
+
 #[test]
 fn an_unanswered_stop_is_sent_again() {
     let mut fixture = AgentFixture::new();
