Forget the answer to a stop when its target restarts

Cause: a run that may have begun at a target which restarts under its id is kept, since the next incarnation may carry out the start. The answer of the earlier incarnation to the run's stop was kept too, so the first poll of the next one that did not list the run settled it, although only the incarnation that answered refuses the start.

Measured: a_stop_answered_by_the_earlier_incarnation_does_not_settle_a_run_at_the_next fails without the change and passes with it. Not seen with real programs.

--- a/crates/bulrushlatch_dispatch/src/agent/incarnation.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/incarnation.rs
@@ -117,9 +117,15 @@
         for (task, run) in std::mem::take(&mut self.runs) {
             // A start that was confirmed earlier took place at the incarnation that has ended.
             if run.started_at.is_none_or(|at| at >= polled_at) {
-                let unanswered_starts = run.unanswered_starts.max(1);
-                let over_by = Some(over_by);
-                kept.insert(task, Run { started_at: None, unanswered_starts, over_by, ..run });
+                let kept_run = Run {
+                    started_at: None,
+                    unanswered_starts: run.unanswered_starts.max(1),
+                    over_by: Some(over_by),
+                    // Only the incarnation that answered refuses the start.
+                    stop_answered_at: None,
+                    ..run
+                };
+                kept.insert(task, kept_run);
             } else {
                 self.runs.insert(task, run);
             }
--- a/crates/bulrushlatch_dispatch/tests/agent/restarted_target.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/restarted_target.rs
@@ -50,6 +50,22 @@
     assert_eq!(fixture.reported_outcomes(), [RunOutcome::Done]);
 }
 
+/// Guards against a run that counts as over because the earlier incarnation answered its stop, while the
+/// next one may still carry out its start.
+#[test]
+fn a_stop_answered_by_the_earlier_incarnation_does_not_settle_a_run_at_the_next() {
+    let mut fixture = AgentFixture::new();
+    fixture.start(0, 1_000);
+    fixture.leave_starts_unanswered();
+    let stops = fixture.take_stops();
+    fixture.agent.handle_stop_reply(fixture.now, &stops[0], 5_000);
+    fixture.agent.handle_poll_error(fixture.now, &"target".to_owned(), PollError::Restarted);
+    fixture.agent.handle_announcement(announcement("target@2", 1));
+    fixture.now += ms(1);
+    poll_next(&mut fixture, &TargetStatus::default());
+    assert!(fixture.reported_outcomes().is_empty());
+}
+
 #[test]
 fn unsettled_run_is_lost_once_its_lease_has_expired() {
     let mut fixture = fixture_with_a_settled_and_an_unsettled_run();
