Skip single records of the store that cannot be read

What callers would see: one odd record in a topic (deeply nested, a number out of range, a key that is not a string) and no process reads that topic's listing any more; a new entry answers 503 for want of a configuration.

Cause: a page of the listing was decoded as one value. A key with characters that a query cannot hold ended the listing likewise, as it was not encoded. A listing cut off after 20 pages was taken for whole, so that cordons beyond it were lifted.

--- a/crates/bulrushlatch_node/src/agent/links.rs
+++ b/crates/bulrushlatch_node/src/agent/links.rs
@@ -97,9 +97,15 @@
                 Ok(page) => {
                     let now = self.clock.now();
                     for record in page.records {
-                        if let (Ok(address), false) = (record.key.parse(), record.value.is_empty())
-                        {
-                            self.link_manager.refresh(address, now);
+                        match record.key.parse() {
+                            Ok(_) if record.value.is_empty() => {}
+                            Ok(address) => {
+                                self.link_manager.refresh(address, now);
+                            }
+                            Err(_) => tracing::info!(
+                                key = record.key,
+                                "entry record ignored: its key is not an address"
+                            ),
                         }
                     }
                 }
--- a/crates/bulrushlatch_node/src/cordon_records.rs
+++ b/crates/bulrushlatch_node/src/cordon_records.rs
@@ -11,8 +11,11 @@
 }
 
 /// Adopts the newest record of each key, as returned by [`SiteStore::newest`]; returns whether the
-/// cordoned zones have changed. A zone without a record is not cordoned.
+/// cordoned zones have changed. A zone without a record is not cordoned, unless records are missing.
 pub fn adopt_listing<S: SiteStore>(cordons: &mut Cordons, store: &S, page: &RecordPage) -> bool {
+    if page.is_partial {
+        return apply_changes(cordons, store, page);
+    }
     let set = changes(store, &page.records).into_iter().filter(|change| change.is_set);
     let zones = set.map(|change| change.zone).collect();
     cordons.adopt(Cordons { offset: page.next_offset, zones })
--- a/crates/bulrushlatch_node/src/interface.rs
+++ b/crates/bulrushlatch_node/src/interface.rs
@@ -178,6 +178,8 @@
     pub records: Vec<KeyedRecord>,
     /// Offset at which [`SiteStore::follow`] continues.
     pub next_offset: u64,
+    /// Whether further records exist that were not read, so that a key which is missing may have one.
+    pub is_partial: bool,
 }
 
 /// Why a call to the store failed.
