Skip single rows of a target's status that cannot be read

What callers would see: one odd row in a target's list of runs and each status poll of it fails, so that its runs are lost. A row without a readable task or attempt was dropped, so that a tracked run which it meant counted as over while it ran.

While a row of runs cannot be read, no tracked run counts as over for not being listed, nothing starts and the lease is withheld.

--- a/crates/bulrushlatch_dispatch/src/agent/lease.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/lease.rs
@@ -6,7 +6,11 @@
 
 use crate::clock::BootTime;
 
-use super::{Agent, run::Run, target::TargetTimeMs};
+use super::{
+    Agent,
+    run::Run,
+    target::{Target, TargetTimeMs},
+};
 
 /// Why the target's lease is not renewed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -15,7 +19,8 @@
     /// A start that an earlier process ordered may still be carried out, and an entry that heard last of
     /// that process may take its runs for over.
     EarlierProcess,
-    /// The target lists a run that is not tracked: what others believe of it is not known here.
+    /// The target lists a run that is not tracked, or whose row cannot be read: what others believe of it is
+    /// not known here.
     UnknownRun,
     /// A run is to be over before its job may be submitted again, and its end is not confirmed.
     OverdueRun,
@@ -40,7 +45,7 @@
     fn withholding_reason(&self, now: BootTime) -> Option<WithholdingReason> {
         if !self.have_earlier_leases_ended(now) {
             Some(WithholdingReason::EarlierProcess)
-        } else if self.target.as_ref().is_some_and(|target| !target.unknown_runs.is_empty()) {
+        } else if self.target.as_ref().is_some_and(Target::has_unknown_runs) {
             Some(WithholdingReason::UnknownRun)
         } else if self.runs.values().any(|run| self.is_overdue(now, run)) {
             Some(WithholdingReason::OverdueRun)
--- a/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
@@ -204,7 +204,13 @@
             self.confirm_start(now, running);
             self.stop_if_unknown(now, running);
         }
-        self.finish_unlisted(now, polled_at, status);
+        if let Some(target) = &mut self.target {
+            target.update_unknown_runs(now, polled_at, status);
+        }
+        // Any tracked run may be among the unreadable ones.
+        if status.unreadable_runs == 0 {
+            self.finish_unlisted(now, polled_at, status);
+        }
     }
 
     /// Returns the highest number of an ended run that was processed, to acknowledge it to the
@@ -260,13 +266,6 @@
             let outcome = if is_stopping { RunOutcome::Stopped } else { RunOutcome::Lost };
             self.finish(now, &task, outcome);
         }
-        if let Some(target) = &mut self.target {
-            target.unknown_runs.retain(|(name, attempt), unknown| {
-                let mut running = status.running.iter();
-                let is_listed = running.any(|run| run.name == *name && run.attempt == *attempt);
-                is_listed || polled_at < unknown.listed_at
-            });
-        }
     }
 
     /// Settles the runs that may have begun at a restarted target which has not listed them: their
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -350,7 +350,7 @@
             HealthState::Ejected => false,
         };
         // Unknown runs occupy capacity, but their sizes are not known.
-        let is_load_known = target.unknown_runs.is_empty();
+        let is_load_known = !target.has_unknown_runs();
         let is_staying = !self.is_shutting_down && !target.announcement.is_leaving;
         is_answering
             && is_healthy
--- a/crates/bulrushlatch_dispatch/src/agent/target.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/target.rs
@@ -73,6 +73,8 @@
     pub clock_ms: TargetTimeMs,
     /// Runs that have not ended.
     pub running: Vec<RunningRun>,
+    /// Number of further runs that have not ended, of which nothing else is known.
+    pub unreadable_runs: usize,
     /// Ended runs that were not acknowledged, in the order of their numbers.
     pub ended: Vec<EndedRun>,
 }
@@ -157,6 +159,8 @@
     /// Runs listed by the target, but not tracked under that task and attempt, by the task's name at the
     /// target.
     pub unknown_runs: BTreeMap<(String, Attempt), UnknownRun>,
+    /// When a status with unreadable runs was last received, if no poll sent after that has shown that there are none.
+    pub unreadable_runs_at: Option<BootTime>,
     /// Runs that have ended because the target was silent, until it answers a status poll.
     pub silent_runs: Vec<CrashedRun>,
     /// Time until which the target counts as full, after it refused a start for lack of capacity.
@@ -175,6 +179,7 @@
             unanswered_at: None,
             ends_seen: 0,
             unknown_runs: BTreeMap::new(),
+            unreadable_runs_at: None,
             silent_runs: Vec::new(),
             full_until: BootTime::ZERO,
         }
@@ -192,6 +197,31 @@
         self.clock_ms + lease.as_millis() as u64
     }
 
+    /// Returns whether runs may be at the target that are not tracked.
+    pub fn has_unknown_runs(&self) -> bool {
+        !self.unknown_runs.is_empty() || self.unreadable_runs_at.is_some()
+    }
+
+    /// Forgets the unknown runs which a status, whose poll was sent at `polled_at`, shows to be over, and records
+    /// whether it has unreadable ones.
+    pub fn update_unknown_runs(
+        &mut self,
+        now: BootTime,
+        polled_at: BootTime,
+        status: &TargetStatus,
+    ) {
+        self.unknown_runs.retain(|(name, attempt), unknown| {
+            let mut running = status.running.iter();
+            let is_listed = running.any(|run| run.name == *name && run.attempt == *attempt);
+            is_listed || polled_at < unknown.listed_at
+        });
+        if status.unreadable_runs > 0 {
+            self.unreadable_runs_at = Some(now);
+        } else if self.unreadable_runs_at.is_some_and(|at| polled_at >= at) {
+            self.unreadable_runs_at = None;
+        }
+    }
+
     /// Returns the time for which the target may hold the next status poll open.
     pub fn poll_wait(&self, now: BootTime) -> Duration {
         let is_losing = self.unanswered_at.is_some_and(|at| now.saturating_sub(at) < LOSS_MEMORY);
--- a/crates/bulrushlatch_dispatch/tests/agent/lease.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/lease.rs
@@ -120,3 +120,19 @@
     fixture.start(1, 1_000);
     assert_eq!(fixture.take_starts().len(), 1);
 }
+
+/// Guards against a run that counts as over, or is kept alive, because its row in the target's status cannot be
+/// read.
+#[test]
+fn a_run_may_be_any_that_cannot_be_read() {
+    let mut fixture = fixture_with_a_run();
+    fixture.poll(&TargetStatus { running: vec![running(0, 1)], ..TargetStatus::default() });
+    let unreadable = TargetStatus { unreadable_runs: 1, ..TargetStatus::default() };
+    fixture.poll(&unreadable);
+    assert!(fixture.reported_outcomes().is_empty());
+    assert_eq!(fixture.agent.prepare_renewal(fixture.now), None);
+    fixture.start(1, 1_000);
+    assert_eq!(fixture.take_starts(), []);
+    fixture.poll(&TargetStatus::default());
+    assert!(fixture.agent.prepare_renewal(fixture.now).is_some());
+}
--- a/crates/bulrushlatch_dispatch/tests/agent/start_queue.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/start_queue.rs
@@ -31,6 +31,7 @@
     fixture.poll(&TargetStatus {
         clock_ms: 5_000,
         running: (1..4).map(|index| running(index, 1)).collect(),
+        unreadable_runs: 0,
         ended: vec![ended(1, 0, 1, RunEnd::Done)],
     });
 }
@@ -57,6 +58,7 @@
     fixture.poll(&TargetStatus {
         clock_ms: 5_000,
         running: (2..4).map(|index| running(index, 1)).collect(),
+        unreadable_runs: 0,
         ended: vec![ended(1, 0, 1, RunEnd::Done), ended(2, 1, 1, RunEnd::Done)],
     });
     fixture.take_starts();
--- a/crates/bulrushlatch_dispatch/tests/one_run/target.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/target.rs
@@ -172,6 +172,7 @@
         TargetStatus {
             clock_ms: self.clock_ms(now_ms),
             running: running.collect(),
+            unreadable_runs: 0,
             ended: self.ends.clone(),
         }
     }
