Take a target's clock from its answers only

What callers would see: after one heartbeat with an odd time (any program can send one) the agent asks for leases that end far in the future, or adds beyond 64 bits, which ends a debug build and gives a lease that has expired in a release build.

Cause: the clock in the first announcement counted until the target's own clock passed it.

Change: the first answer of the target replaces it, no lease is requested before that, and the sum saturates.

Measured: only_answers_of_the_target_tell_its_clock fails without the change ("attempt to add with overflow") and passes with it."

--- a/crates/bulrushlatch_dispatch/src/agent/lease.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/lease.rs
@@ -28,7 +28,7 @@
 
 impl Agent {
     /// Stops the runs of silent entries, then returns the end of the lease to request: `None` while the
-    /// lease is withheld or there is no target.
+    /// lease is withheld or no target has answered, since only its answers tell its clock.
     pub fn prepare_renewal(&mut self, now: BootTime) -> Option<TargetTimeMs> {
         self.stop_orphaned_runs(now);
         let reason = self.withholding_reason(now);
@@ -39,7 +39,8 @@
         }
         let longest = self.timing.max_lease_on_agent_clock();
         let lease = self.timing.lease;
-        self.target.as_mut().map(|target| target.request_lease(now, lease, longest))
+        let target = self.target.as_mut().filter(|target| target.answered_at.is_some())?;
+        Some(target.request_lease(now, lease, longest))
     }
 
     fn withholding_reason(&self, now: BootTime) -> Option<WithholdingReason> {
--- a/crates/bulrushlatch_dispatch/src/agent/target.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/target.rs
@@ -144,7 +144,8 @@
 pub struct Target {
     /// Its newest announcement.
     pub announcement: Announcement,
-    /// Highest value of its clock that was received.
+    /// Highest value of its clock in an answer; until the first one, that in the announcement, which
+    /// anybody may have sent.
     pub clock_ms: TargetTimeMs,
     /// Latest time at which its lease may end, on the agent's clock.
     pub lease_ends_at: BootTime,
@@ -194,7 +195,7 @@
         longest: Duration,
     ) -> TargetTimeMs {
         self.lease_ends_at = self.lease_ends_at.max(now + longest);
-        self.clock_ms + lease.as_millis() as u64
+        self.clock_ms.saturating_add(lease.as_millis() as u64)
     }
 
     /// Returns whether runs may be at the target that are not tracked.
@@ -235,7 +236,7 @@
 
     /// Records that the target answered a call, with the target's clock.
     pub fn record_answer(&mut self, now: BootTime, clock_ms: TargetTimeMs) {
-        self.clock_ms = self.clock_ms.max(clock_ms);
-        self.answered_at = Some(now);
+        let is_first = self.answered_at.replace(now).is_none();
+        self.clock_ms = if is_first { clock_ms } else { self.clock_ms.max(clock_ms) };
     }
 }
--- a/crates/bulrushlatch_dispatch/tests/agent/lease.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/lease.rs
@@ -1,13 +1,13 @@
 //! What the agent's renewals of the target's lease must not keep alive.
 
 use bulrushlatch_dispatch::{
-    agent::target::{StartReply, TargetStatus},
+    agent::target::{Announcement, StartReply, TargetStatus},
     clock::BootTime,
     frame::Action,
     timing::SLACK,
 };
 
-use super::fixture::{AgentFixture, BOOT, ms, running, task, timing};
+use super::fixture::{AgentFixture, BOOT, announcement, ms, running, task, timing};
 
 /// Interval between the frames of the entry, and between the polls of the target, in these tests.
 const STEP_MS: u64 = 50;
@@ -136,3 +136,17 @@
     fixture.poll(&TargetStatus::default());
     assert!(fixture.agent.prepare_renewal(fixture.now).is_some());
 }
+
+/// Guards against a lease without end, or an overflow, after a heartbeat with an odd time.
+#[test]
+fn only_answers_of_the_target_tell_its_clock() {
+    let mut fixture = AgentFixture::new();
+    fixture.agent.handle_departure(fixture.now, &"target".to_owned());
+    let odd = Announcement { clock_ms: u64::MAX, ..announcement("next", 1) };
+    fixture.agent.handle_announcement(odd);
+    assert_eq!(fixture.agent.prepare_renewal(fixture.now), None);
+    let status = TargetStatus { clock_ms: 70_000, ..TargetStatus::default() };
+    fixture.agent.handle_status(fixture.now, fixture.now, &"next".to_owned(), &status);
+    let lease_until_ms = fixture.agent.prepare_renewal(fixture.now);
+    assert_eq!(lease_until_ms, Some(70_000 + timing().lease.as_millis() as u64));
+}
