Reject heartbeats that lack a field or have an odd one

What callers would see: tasks go to a target that has not described itself, as defaults were filled in for its zone, labels, memory and accelerators, and an address with a port out of range was passed over.

Unknown fields are still passed over, so that a newer platform may add some.

--- a/crates/bulrushlatch_node/src/agent/mod.rs
+++ b/crates/bulrushlatch_node/src/agent/mod.rs
@@ -136,11 +136,13 @@
 
     /// Logs the address that the target announces if it differs from the one in the settings, once
     /// for each such address.
-    fn check_announced_address(&self, target: &TargetId, address: Option<SocketAddr>) {
-        let unexpected = address.filter(|address| *address != self.settings.target);
-        if unexpected.is_some() && self.unexpected_address.replace(unexpected) != unexpected {
+    fn check_announced_address(&self, target: &TargetId, address: SocketAddr) {
+        if address == self.settings.target {
+            return;
+        }
+        if self.unexpected_address.replace(Some(address)) != Some(address) {
             tracing::info!(
-                %target, address = ?unexpected, configured = %self.settings.target,
+                %target, %address, configured = %self.settings.target,
                 "target announces an address that differs from the configured one"
             );
         }
--- a/crates/bulrushlatch_node/src/interface.rs
+++ b/crates/bulrushlatch_node/src/interface.rs
@@ -98,8 +98,8 @@
     Announced {
         /// Id, capacity and state of the target.
         announcement: Announcement,
-        /// Address on which it accepts calls, if the announcement states a valid one.
-        address: Option<SocketAddr>,
+        /// Address on which it accepts calls.
+        address: SocketAddr,
     },
     /// The target has left.
     Left(TargetId),
