Give short leases instead of none after the restart of an agent

Cause: a new agent process renewed and started nothing for one lease.

Change: until the leases of an earlier process have ended, a new one requests leases of two thirds of the stop grace, and only beside a status whose poll is no older than the other third; it polls at short intervals meanwhile. A start of the earlier process is sent within contact_limit and carried out within its lease; the run is over stop_grace later, by when its entry takes it for over, as the sum in timing.rs says.

--- a/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/lifecycle.rs
@@ -195,7 +195,7 @@
         if let Some(target) = &mut self.target {
             target.record_answer(now, status.clock_ms);
             target.silent_runs.clear();
-            target.polled_at = target.polled_at.max(polled_at);
+            target.polled_at = target.polled_at.max(Some(polled_at));
         }
         for ended in &status.ended {
             self.apply_end(now, ended);
--- a/crates/bulrushlatch_dispatch/src/agent/mod.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/mod.rs
@@ -55,7 +55,7 @@
     run::Run,
     session::Session,
     start_queue::StartQueue,
-    target::{Announcement, Target, TargetId},
+    target::{Announcement, SHORT_POLL_WAIT, Target, TargetId},
 };
 
 /// An order that the agent's process is to send to the target.
@@ -235,7 +235,8 @@
     /// Returns the time for which the target may hold the next status poll open; zero without a
     /// target.
     pub fn poll_wait(&self, now: BootTime) -> Duration {
-        self.target.as_ref().map_or(Duration::ZERO, |target| target.poll_wait(now))
+        let Some(target) = &self.target else { return Duration::ZERO };
+        if self.have_earlier_leases_ended(now) { target.poll_wait(now) } else { SHORT_POLL_WAIT }
     }
 
     /// Records that a link to an entry, with frames of `version`, has opened in place of an earlier
@@ -352,12 +353,7 @@
         // Unknown runs occupy capacity, but their sizes are not known.
         let is_load_known = !target.has_unknown_runs();
         let is_staying = !self.is_shutting_down && !target.announcement.is_leaving;
-        is_answering
-            && is_healthy
-            && is_load_known
-            && is_staying
-            && !self.is_cordoned()
-            && self.have_earlier_leases_ended(now)
+        is_answering && is_healthy && is_load_known && is_staying && !self.is_cordoned()
     }
 }
 
--- a/crates/bulrushlatch_dispatch/src/agent/target.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/target.rs
@@ -12,8 +12,9 @@
 /// Time for which a target may hold a status poll open until a run ends: well below the lease and
 /// the time after which the target counts as silent.
 const POLL_WAIT: Duration = Duration::from_millis(100);
-/// The same while answers get lost: the ends in a lost answer are learned from the next poll.
-const SHORT_POLL_WAIT: Duration = Duration::from_millis(10);
+/// The same while answers get lost, since the ends in a lost answer are learned from the next poll, and while
+/// starts of an earlier process may be carried out.
+pub(super) const SHORT_POLL_WAIT: Duration = Duration::from_millis(10);
 /// Time after an unanswered call for which further answers are expected to get lost.
 const LOSS_MEMORY: Duration = Duration::from_secs(2);
 
@@ -150,7 +151,7 @@
     /// Latest time at which its lease may end, on the agent's clock.
     pub lease_ends_at: BootTime,
     /// When the newest status poll that it answered was sent.
-    pub polled_at: BootTime,
+    pub polled_at: Option<BootTime>,
     /// When it last answered a call.
     pub answered_at: Option<BootTime>,
     /// When a call to it last went unanswered.
@@ -175,7 +176,7 @@
             clock_ms: announcement.clock_ms,
             announcement,
             lease_ends_at: BootTime::ZERO,
-            polled_at: BootTime::ZERO,
+            polled_at: None,
             answered_at: None,
             unanswered_at: None,
             ends_seen: 0,
--- a/crates/bulrushlatch_dispatch/src/timing.rs
+++ b/crates/bulrushlatch_dispatch/src/timing.rs
@@ -38,6 +38,11 @@
 /// The same on a link to a build that replaces a link after a shorter silence.
 const DENSE_IDLE_HEARTBEAT_FACTOR: u32 = 6;
 
+/// Returns the longest time that `duration` on a target's clock may last on the agent's clock.
+pub fn on_agent_clock(duration: Duration) -> Duration {
+    duration.div_f64(1.0 - CLOCK_DRIFT)
+}
+
 /// Time bounds that all processes of a site share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
@@ -86,13 +91,13 @@
 
     /// Returns the longest time for which a lease may last on the agent's clock.
     pub fn max_lease_on_agent_clock(&self) -> Duration {
-        self.lease.div_f64(1.0 - CLOCK_DRIFT)
+        on_agent_clock(self.lease)
     }
 
     /// Returns the longest time for which any lease that a target grants may last on the agent's
     /// clock.
     pub fn max_granted_lease_on_agent_clock(&self) -> Duration {
-        self.longest_lease.div_f64(1.0 - CLOCK_DRIFT)
+        on_agent_clock(self.longest_lease)
     }
 
     /// Returns the time by which all runs of an entry are over, counted from the newest stamp that
--- a/crates/bulrushlatch_dispatch/tests/agent/lease.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/lease.rs
@@ -1,10 +1,13 @@
 //! What the agent's renewals of the target's lease must not keep alive.
 
 use bulrushlatch_dispatch::{
-    agent::target::{Announcement, StartReply, TargetStatus},
+    agent::{
+        Agent,
+        target::{Announcement, StartReply, TargetStatus},
+    },
     clock::BootTime,
     frame::Action,
-    timing::SLACK,
+    timing::{SLACK, on_agent_clock},
 };
 
 use super::fixture::{AgentFixture, BOOT, announcement, ms, running, task, timing};
@@ -105,20 +108,38 @@
 }
 
 /// Guards against a start of a killed agent that is carried out late, at a target whose lease the next agent
-/// has renewed meanwhile.
+/// has renewed meanwhile: the entry takes the run for over one stop grace after the start's own lease.
 #[test]
-fn nothing_is_renewed_while_an_earlier_process_may_have_given_a_lease() {
+fn leases_are_short_while_an_earlier_process_may_have_given_one() {
     let mut fixture = AgentFixture::with_process_started_at(BOOT);
     let earlier_leases_end = BOOT + timing().max_lease_on_agent_clock();
-    while fixture.now <= earlier_leases_end {
-        assert_eq!(fixture.agent.prepare_renewal(fixture.now), None);
-        fixture.start(0, 1_000);
-        assert_eq!(fixture.take_starts(), []);
+    let mut renewals = 0;
+    while fixture.now < earlier_leases_end {
+        let polled_at = fixture.now;
         fixture.poll(&TargetStatus::default());
-        fixture.now += ms(STEP_MS);
+        // A run that begins now is in the next status, which is not answered.
+        let end = earlier_leases_end.min(polled_at + timing().stop_grace);
+        while fixture.now <= end {
+            if let Some(lease_until_ms) = fixture.agent.prepare_renewal(fixture.now) {
+                renewals += 1;
+                let over_at = fixture.now + on_agent_clock(ms(lease_until_ms));
+                assert!(over_at <= polled_at + timing().stop_grace);
+            }
+            fixture.now += ms(1);
+        }
     }
-    fixture.start(1, 1_000);
-    assert_eq!(fixture.take_starts().len(), 1);
+    assert!(renewals > 0);
+    fixture.poll(&TargetStatus::default());
+    let lease_ms = fixture.agent.prepare_renewal(fixture.now);
+    assert_eq!(lease_ms, Some(timing().lease.as_millis() as u64));
+}
+
+/// Guards against a renewal for runs of which nothing is known yet.
+#[test]
+fn nothing_is_renewed_before_the_first_status() {
+    let mut agent = Agent::new(timing(), BOOT);
+    agent.handle_announcement(announcement("target", 1));
+    assert_eq!(agent.prepare_renewal(BOOT + ms(1)), None);
 }
 
 /// Guards against a run that counts as over, or is kept alive, because its row in the target's status cannot be
--- a/crates/bulrushlatch_dispatch/tests/one_run/fault.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/fault.rs
@@ -56,7 +56,7 @@
     ShrinkTarget,
     /// Stops of runs of delegated jobs at a target get lost for a while; other calls do not.
     LostStops,
-    /// No start and no stop order to a target gets an answer for a while; they are carried out 2 to 4 s
+    /// No start and no stop order to a target gets an answer for a while; they are carried out up to 4 s
     /// later. Status polls are answered.
     UnansweredOrders,
     /// Two entries cannot reach each other for a while; frames arrive afterwards.
--- a/crates/bulrushlatch_dispatch/tests/one_run/world/calls.rs
+++ b/crates/bulrushlatch_dispatch/tests/one_run/world/calls.rs
@@ -4,6 +4,8 @@
 
 /// Time after which an order that got no answer is carried out.
 const LATE_ORDER_DELAY_MS: std::ops::Range<u64> = 2_000..4_000;
+/// The same for an order whose lease may still hold then.
+const DELAY_WITHIN_LEASE_MS: std::ops::Range<u64> = 50..750;
 
 impl World {
     /// Sends an order of an agent to its target.
@@ -37,7 +39,12 @@
         if is_unanswered {
             let event =
                 Event::AtTarget { agent, incarnation, call: call.clone(), is_answered: false };
-            let delay_ms = self.rng.u64(LATE_ORDER_DELAY_MS);
+            let is_late_for_lease = self.rng.bool();
+            let delay_ms = self.rng.u64(if is_late_for_lease {
+                LATE_ORDER_DELAY_MS
+            } else {
+                DELAY_WITHIN_LEASE_MS
+            });
             self.after(delay_ms, event);
             self.time_out(agent, incarnation, call);
             return;
