--- a/crates/bulrushlatch_dispatch/tests/agent/lease.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/lease.rs
@@ -7,6 +7,7 @@
     },
     clock::BootTime,
     frame::Action,
+    outcome::{Obstacle, RunOutcome},
     timing::{SLACK, on_agent_clock},
 };
 
@@ -171,3 +172,46 @@
     let lease_until_ms = fixture.agent.prepare_renewal(fixture.now);
     assert_eq!(lease_until_ms, Some(70_000 + timing().lease.as_millis() as u64));
 }
+
+#[test]
+fn the_lease_is_not_renewed_while_an_overdue_stop_is_unconfirmed() {
+    let mut fixture = AgentFixture::new();
+    fixture.start(0, 1_000);
+    let starts = fixture.take_starts();
+    fixture.reply_to_start(&starts[0], &StartReply::Started);
+    fixture.now += timing().contact_limit + ms(10);
+    assert!(fixture.agent.prepare_renewal(fixture.now).is_some(), "the stop has some time to work");
+    fixture.now += timing().stop_grace;
+    assert_eq!(fixture.agent.prepare_renewal(fixture.now), None);
+}
+
+#[test]
+fn an_agent_resumed_from_a_suspension_stops_orphaned_runs_and_renews_no_lease() {
+    let mut fixture = AgentFixture::new();
+    fixture.start(0, 1_000);
+    let starts = fixture.take_starts();
+    fixture.reply_to_start(&starts[0], &StartReply::Started);
+    fixture.now += ms(600);
+    assert_eq!(fixture.agent.prepare_renewal(fixture.now), None);
+    assert_eq!(fixture.take_stops().len(), 1);
+}
+
+#[test]
+fn an_unknown_run_at_the_target_is_stopped() {
+    let mut fixture = AgentFixture::new();
+    fixture.poll(&TargetStatus { running: vec![running(9, 4)], ..TargetStatus::default() });
+    let stops = fixture.take_stops();
+    assert_eq!(stops.len(), 1);
+    assert_eq!(stops[0].attempt, 4);
+}
+
+#[test]
+fn nothing_is_started_while_unknown_runs_are_at_the_target() {
+    let mut fixture = AgentFixture::new();
+    fixture.poll(&TargetStatus { running: vec![running(9, 4)], ..TargetStatus::default() });
+    fixture.start(0, 1_000);
+    assert_eq!(fixture.reported_outcomes(), [RunOutcome::NotStarted(Obstacle::Unavailable)]);
+    fixture.poll(&TargetStatus::default());
+    fixture.start(1, 1_000);
+    assert_eq!(fixture.take_starts().len(), 1);
+}
