Derive what the lease code passed along

The longest time of a lease on the agent's clock follows from the lease; it is no longer a parameter of its own. A target's clock starts at zero in place of the announced one, which nothing uses before the first answer, so that the first answer needs no case of its own. Two nested closures become one comparison of options.

--- a/crates/bulrushlatch_dispatch/src/agent/incarnation.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/incarnation.rs
@@ -116,7 +116,7 @@
         let mut kept = BTreeMap::new();
         for (task, run) in std::mem::take(&mut self.runs) {
             // A start that was confirmed earlier took place at the incarnation that has ended.
-            if run.started_at.is_none_or(|at| polled_at.is_none_or(|polled_at| at >= polled_at)) {
+            if run.started_at.is_none_or(|at| Some(at) >= polled_at) {
                 let kept_run = Run {
                     started_at: None,
                     unanswered_starts: run.unanswered_starts.max(1),
--- a/crates/bulrushlatch_dispatch/src/agent/lease.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/lease.rs
@@ -6,10 +6,7 @@
 
 use std::time::Duration;
 
-use crate::{
-    clock::BootTime,
-    timing::{CLOCK_DRIFT, on_agent_clock},
-};
+use crate::{clock::BootTime, timing::CLOCK_DRIFT};
 
 use super::{
     Agent,
@@ -47,9 +44,8 @@
             return None;
         }
         let lease = self.lease(now);
-        let longest = on_agent_clock(lease);
         let target = self.target.as_mut().filter(|target| target.answered_at.is_some())?;
-        Some(target.request_lease(now, lease, longest))
+        Some(target.request_lease(now, lease))
     }
 
     fn withholding_reason(&self, now: BootTime) -> Option<WithholdingReason> {
--- a/crates/bulrushlatch_dispatch/src/agent/target.rs
+++ b/crates/bulrushlatch_dispatch/src/agent/target.rs
@@ -7,6 +7,7 @@
     crash::CrashedRun,
     ids::{Attempt, TaskKey},
     size::Size,
+    timing::on_agent_clock,
 };
 
 /// Time for which a target may hold a status poll open until a run ends: well below the lease and
@@ -145,8 +146,8 @@
 pub struct Target {
     /// Its newest announcement.
     pub announcement: Announcement,
-    /// Highest value of its clock in an answer; until the first one, that in the announcement, which
-    /// anybody may have sent.
+    /// Highest value of its clock in an answer, which no lease is requested before. Announcements do not
+    /// count, as anybody may send one.
     pub clock_ms: TargetTimeMs,
     /// Latest time at which its lease may end, on the agent's clock.
     pub lease_ends_at: BootTime,
@@ -173,7 +174,7 @@
     /// Returns a target that has announced itself and has answered no call yet.
     pub fn new(announcement: Announcement) -> Self {
         Self {
-            clock_ms: announcement.clock_ms,
+            clock_ms: 0,
             announcement,
             lease_ends_at: BootTime::ZERO,
             polled_at: None,
@@ -187,15 +188,9 @@
         }
     }
 
-    /// Returns the end, on the target's clock, of a lease requested now that may last up to
-    /// `longest` on the agent's clock.
-    pub fn request_lease(
-        &mut self,
-        now: BootTime,
-        lease: Duration,
-        longest: Duration,
-    ) -> TargetTimeMs {
-        self.lease_ends_at = self.lease_ends_at.max(now + longest);
+    /// Returns the end, on the target's clock, of a lease requested now that lasts for `lease` there.
+    pub fn request_lease(&mut self, now: BootTime, lease: Duration) -> TargetTimeMs {
+        self.lease_ends_at = self.lease_ends_at.max(now + on_agent_clock(lease));
         self.clock_ms.saturating_add(lease.as_millis() as u64)
     }
 
@@ -237,7 +232,7 @@
 
     /// Records that the target answered a call, with the target's clock.
     pub fn record_answer(&mut self, now: BootTime, clock_ms: TargetTimeMs) {
-        let is_first = self.answered_at.replace(now).is_none();
-        self.clock_ms = if is_first { clock_ms } else { self.clock_ms.max(clock_ms) };
+        self.clock_ms = self.clock_ms.max(clock_ms);
+        self.answered_at = Some(now);
     }
 }
