--- a/crates/bulrushlatch_dispatch/tests/agent/lease.rs
+++ b/crates/bulrushlatch_dispatch/tests/agent/lease.rs
@@ -46,6 +46,14 @@
     renewed_at
 }
 
+/// Asserts that the run of [`fixture_with_a_run`] is over before a job that ended at `ended_at` may come again,
+/// although the target lists it at each poll.
+fn assert_run_ends_in_time(fixture: &mut AgentFixture, ended_at: BootTime) {
+    let listed = TargetStatus { running: vec![running(0, 1)], ..TargetStatus::default() };
+    let over_at = last_renewal(fixture, &listed) + timing().max_lease_on_agent_clock() + SLACK;
+    assert!(over_at <= ended_at + timing().resend_after, "{:?} after it", over_at - ended_at);
+}
+
 /// Guards against a run that goes on beside its repetition because its stop is not answered while its
 /// entry lives.
 #[test]
@@ -54,9 +62,7 @@
     fixture.now += ms(STEP_MS);
     let ended_at = fixture.now;
     fixture.send_orders(vec![stop_order(false)]);
-    let listed = TargetStatus { running: vec![running(0, 1)], ..TargetStatus::default() };
-    let over_at = last_renewal(&mut fixture, &listed) + timing().max_lease_on_agent_clock() + SLACK;
-    assert!(over_at <= ended_at + timing().resend_after, "{:?} after it", over_at - ended_at);
+    assert_run_ends_in_time(&mut fixture, ended_at);
 }
 
 /// Guards against a stop that is lost with a link: the frame that repeats it has a newer stamp than the
@@ -67,9 +73,7 @@
     let ended_at = fixture.now;
     fixture.now += ms(300);
     fixture.send_orders(vec![stop_order(false)]);
-    let listed = TargetStatus { running: vec![running(0, 1)], ..TargetStatus::default() };
-    let over_at = last_renewal(&mut fixture, &listed) + timing().max_lease_on_agent_clock() + SLACK;
-    assert!(over_at <= ended_at + timing().resend_after, "{:?} after it", over_at - ended_at);
+    assert_run_ends_in_time(&mut fixture, ended_at);
 }
 
 /// Guards against sound runs that end with the lease although nobody takes the stuck run for over.
@@ -82,8 +86,7 @@
     assert!(fixture.now - renewed_at <= ms(2 * STEP_MS));
     fixture.send_orders(vec![stop_order(false)]);
     let ended_at = fixture.now;
-    let over_at = last_renewal(&mut fixture, &listed) + timing().max_lease_on_agent_clock() + SLACK;
-    assert!(over_at <= ended_at + timing().resend_after, "{:?} after it", over_at - ended_at);
+    assert_run_ends_in_time(&mut fixture, ended_at);
 }
 
 /// Guards against a run of a killed agent that goes on beside its repetition because the next agent, which
@@ -175,10 +178,7 @@
 
 #[test]
 fn the_lease_is_not_renewed_while_an_overdue_stop_is_unconfirmed() {
-    let mut fixture = AgentFixture::new();
-    fixture.start(0, 1_000);
-    let starts = fixture.take_starts();
-    fixture.reply_to_start(&starts[0], &StartReply::Started);
+    let mut fixture = fixture_with_a_run();
     fixture.now += timing().contact_limit + ms(10);
     assert!(fixture.agent.prepare_renewal(fixture.now).is_some(), "the stop has some time to work");
     fixture.now += timing().stop_grace;
@@ -187,10 +187,7 @@
 
 #[test]
 fn an_agent_resumed_from_a_suspension_stops_orphaned_runs_and_renews_no_lease() {
-    let mut fixture = AgentFixture::new();
-    fixture.start(0, 1_000);
-    let starts = fixture.take_starts();
-    fixture.reply_to_start(&starts[0], &StartReply::Started);
+    let mut fixture = fixture_with_a_run();
     fixture.now += ms(600);
     assert_eq!(fixture.agent.prepare_renewal(fixture.now), None);
     assert_eq!(fixture.take_stops().len(), 1);
