Test damaged frames and unreadable records of the log

Both tests are green on the code as it is: a damaged frame is decoded or rejected, and an unreadable record of the log costs the stream only itself.

--- a/crates/bulrushlatch_core/tests/settings.rs
+++ b/crates/bulrushlatch_core/tests/settings.rs
@@ -183,3 +183,22 @@
     let page = log.read(StreamName::Settings, reader.next_offset(), page_size);
     reader.apply_page(&page.expect("the log is up"));
 }
+
+/// Guards against a stream that is not followed any more because of one odd record in it.
+#[test]
+fn an_unreadable_record_costs_a_stream_only_itself() {
+    let log = MemoryLog::default();
+    let nested = "[".repeat(5_000) + &"]".repeat(5_000);
+    let odd = ["", "null", "1e999", r#"{"Record":{"expected_version":1e999}}"#, nested.as_str()];
+    for body in odd {
+        log.append(StreamName::Settings, body).expect("the log is up");
+    }
+    let good = change("good", "operators", "marea", SettingKey::Owner, json!("marea"), 0);
+    let body = record_body::<SettingsTree>(&good);
+    log.append(StreamName::Settings, &body).expect("the log is up");
+    let mut reader = StreamReader::<SettingsTree>::default();
+    read(&log, &mut reader, 100);
+    assert_eq!(reader.unreadable_records(), odd.len() as u64);
+    assert_eq!(reader.next_offset(), odd.len() as u64 + 1);
+    assert!(reader.state().version("marea", SettingKey::Owner) > 0);
+}
--- a/crates/bulrushlatch_node/tests/link_versions/main.rs
+++ b/crates/bulrushlatch_node/tests/link_versions/main.rs
@@ -144,3 +144,19 @@
         assert_eq!(frames_received_by(own_hello(), vec![cordons()]).await.len(), 2);
     });
 }
+
+/// Guards against a process that ends because of a frame that cannot be decoded.
+#[test]
+fn damaged_frames_are_decoded_or_rejected() {
+    let mut random = fastrand::Rng::with_seed(1);
+    for (name, frame) in samples::frames() {
+        let bytes = frame.encode().expect("a frame");
+        for length in 0..bytes.len() {
+            let mut damaged = bytes[..length].to_vec();
+            let _ = Frame::decode(&damaged);
+            damaged.extend((length..bytes.len()).map(|_| random.u8(..)));
+            let _ = Frame::decode(&damaged);
+        }
+        assert!(Frame::decode(&[]).is_err(), "{name}");
+    }
+}
